--- /dev/null
+++ b/crates/aldercrank-drill/src/lib.rs
@@ -0,0 +1,210 @@
+//! Decodes batches of the drill's wire into calls of `Brain` and encodes what it tells its host. Decides nothing.
+
+use aldercrank::{Arrival, Brain, CallerId, Host, Outcome, Settings, TxnId, Value};
+use serde_json::{json, Value as Json};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Collects one instance's actions until the reply is written.
+#[derive(Default)]
+pub struct Outbox(Vec<Json>);
+
+fn us(span: Duration) -> u64 {
+    span.as_micros().min(u128::from(u64::MAX)) as u64
+}
+
+impl Host for Outbox {
+    fn start(&mut self, txn: TxnId) {
+        self.0.push(json!({"t": "Process", "request_id": txn.0}));
+    }
+    fn stop(&mut self, txn: TxnId) {
+        self.0.push(json!({"t": "Stop", "request_id": txn.0}));
+    }
+    fn decline(&mut self, txn: TxnId, back_in: Option<Duration>, last: bool) {
+        let mut action = json!({"t": "SayNo", "request_id": txn.0});
+        if let Some(span) = back_in {
+            action["hold_off"] = us(span).into();
+        }
+        if last {
+            action["last"] = true.into();
+        }
+        self.0.push(action);
+    }
+    fn void(&mut self, txn: TxnId) {
+        self.0.push(json!({"t": "EndFailed", "request_id": txn.0}));
+    }
+    fn keep(&mut self, txn: TxnId, span: Duration) {
+        self.0.push(json!({"t": "Remember", "request_id": txn.0, "for_time": us(span)}));
+    }
+    fn forget(&mut self, txn: TxnId) {
+        self.0.push(json!({"t": "Erase", "request_id": txn.0}));
+    }
+    fn join(&mut self, txn: TxnId) {
+        self.0.push(json!({"t": "Join", "request_id": txn.0}));
+    }
+    fn call(&mut self, txn: TxnId, give_up_after: Duration) {
+        self.0.push(json!({"t": "Dial", "request_id": txn.0, "give_up_after": us(give_up_after)}));
+    }
+    fn skip_call(&mut self, txn: TxnId) {
+        self.0.push(json!({"t": "Skip", "request_id": txn.0}));
+    }
+    fn health(&mut self, good: bool, stored: bool) {
+        self.0.push(json!({"t": "Fitness", "enable": good, "stored": stored}));
+    }
+    fn close_idle(&mut self, span: Duration) {
+        self.0.push(json!({"t": "CloseIdle", "for_time": us(span)}));
+    }
+    fn advertise(&mut self, value: f64) {
+        self.0.push(json!({"t": "Say", "value": value}));
+    }
+    fn wake(&mut self, after: Duration) {
+        self.0.push(json!({"t": "Remind", "delay": us(after), "tag": "tick"}));
+    }
+    fn log(&mut self, line: &str) {
+        self.0.push(json!({"t": "WriteLog", "words": line}));
+    }
+}
+
+struct Instance {
+    brain: Brain<Outbox>,
+    /// The clock at its start.
+    zero: u64,
+}
+
+/// All instances of one process; they share nothing.
+#[derive(Default)]
+pub struct Drill {
+    instances: BTreeMap<u64, Instance>,
+}
+
+impl Drill {
+    /// Takes one line, gives the reply, or says what is wrong and at which byte.
+    pub fn batch(&mut self, line: &str) -> Result<String, String> {
+        let batch: Json = serde_json::from_str(line)
+            .map_err(|e| format!("not a batch: {e} (byte {})", byte_at(line, &e)))?;
+        let now = batch.get("ts").and_then(Json::as_u64).ok_or_else(|| misses(line, "a clock under ts"))?;
+        let groups = batch
+            .get("groups")
+            .and_then(Json::as_array)
+            .ok_or_else(|| misses(line, "a list under groups"))?;
+        let mut replies = Vec::new();
+        for group in groups {
+            let (Some(i), Some(items)) =
+                (group.get("i").and_then(Json::as_u64), group.get("items").and_then(Json::as_array))
+            else {
+                return Err(misses(line, "i and items in a group"));
+            };
+            for item in items {
+                self.event(i, now, item);
+            }
+            let sent = self.instances.get_mut(&i).map(|s| std::mem::take(&mut s.brain.host().0));
+            if let Some(actions) = sent.filter(|a| !a.is_empty()) {
+                replies.push(json!({"i": i, "actions": actions}));
+            }
+        }
+        Ok(json!({ "groups": replies }).to_string())
+    }
+
+    fn event(&mut self, i: u64, clock: u64, item: &Json) {
+        let name = item.get("t").and_then(Json::as_str).unwrap_or_default();
+        if name == "PowerOn" {
+            let mut settings = Settings::default();
+            if let Some(env) = item.get("env") {
+                flatten("", env, &mut settings);
+            }
+            let salt = item.get("salt").and_then(Json::as_u64).unwrap_or_default();
+            let brain = Brain::start(settings, salt, Duration::ZERO, Outbox::default());
+            self.instances.insert(i, Instance { brain, zero: clock });
+            return;
+        }
+        if name == "Kill" {
+            self.instances.remove(&i);
+            return;
+        }
+        let Some(Instance { brain, zero }) = self.instances.get_mut(&i) else { return };
+        let now = Duration::from_micros(clock.saturating_sub(*zero));
+        let at = |field: &str| {
+            item.get(field)
+                .and_then(Json::as_u64)
+                .filter(|t| *t > 0)
+                .map(|t| Duration::from_micros(t.saturating_sub(*zero)))
+        };
+        let span =
+            |field: &str| Duration::from_micros(item.get(field).and_then(Json::as_u64).unwrap_or_default());
+        let id = item.get("request_id").and_then(Json::as_u64).and_then(|n| u32::try_from(n).ok()).map(TxnId);
+        match (name, id) {
+            ("NewRequest", Some(id)) => brain.txn_read(now, id, &arrival(item, at("drop_dead"))),
+            ("Alarm", _) => {
+                let gauges: Vec<f64> = item
+                    .get("pressure")
+                    .and_then(Json::as_array)
+                    .map(|row| row.iter().map(|g| g.as_f64().unwrap_or_default()).collect())
+                    .unwrap_or_default();
+                brain.woken(now, &gauges);
+            }
+            ("WindDown", _) => brain.drain(now, at("drop_dead").unwrap_or(now)),
+            ("Awaiting", Some(id)) => brain.call_needed(now, id),
+            ("WoundUp", Some(id)) => brain.run_ended(now, id, outcome(item), span("duration")),
+            ("CallEnded", Some(id)) => brain.call_ended(now, id, outcome(item), span("duration")),
+            ("ClientGone", Some(id)) => brain.caller_gone(now, id),
+            _ => {}
+        }
+    }
+}
+
+fn arrival(item: &Json, expiry: Option<Duration>) -> Arrival {
+    let text = |field: &str| item.get(field).and_then(Json::as_str).map(str::to_string);
+    let num = |field: &str| item.get(field).and_then(Json::as_f64).unwrap_or_default();
+    let int = |field: &str| item.get(field).and_then(Json::as_u64).unwrap_or_default();
+    let bits = int("bitmap");
+    Arrival {
+        product: text("cls").unwrap_or_default(),
+        tenant: text("user_group"),
+        subject: text("name_key"),
+        expiry,
+        work: Some(int("estimate")).filter(|w| *w > 0 && bits & 1 != 0).map(Duration::from_micros),
+        memory_kb: num("footprint"),
+        rank: num("precedence"),
+        retry: bits & 2 != 0,
+        write: bits & 4 != 0,
+        caller: CallerId(int("by")),
+        lay: Duration::from_micros(int("lay")),
+        repeats: Some(int("dup_of")).filter(|d| *d > 0).and_then(|d| u32::try_from(d).ok()).map(TxnId),
+    }
+}
+
+fn outcome(item: &Json) -> Outcome {
+    match item.get("result").and_then(Json::as_str).unwrap_or_default() {
+        "completed" => Outcome::Completed,
+        "saturated" => Outcome::Saturated,
+        "overdue" => Outcome::Overdue,
+        "refused_conn" => Outcome::Unreachable,
+        "severed" => Outcome::Severed,
+        "recalled" => Outcome::Recalled,
+        "superseded" => Outcome::Superseded,
+        _ => Outcome::Errored,
+    }
+}
+
+/// Nested settings become dotted names; list items count from 0.
+fn flatten(path: &str, value: &Json, into: &mut Settings) {
+    let join = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+    match value {
+        Json::Object(fields) => fields.iter().for_each(|(k, v)| flatten(&join(k), v, into)),
+        Json::Array(items) => {
+            items.iter().enumerate().for_each(|(k, v)| flatten(&join(&k.to_string()), v, into))
+        }
+        Json::String(s) => into.set(path, Value::Text(s.clone())),
+        Json::Bool(b) => into.set(path, Value::Flag(*b)),
+        Json::Number(n) => into.set(path, Value::Num(n.as_f64().unwrap_or(f64::NAN))),
+        Json::Null => {}
+    }
+}
+
+fn byte_at(line: &str, e: &serde_json::Error) -> usize {
+    e.column().saturating_sub(1).min(line.len())
+}
+
+fn misses(line: &str, what: &str) -> String {
+    format!("not a batch: {what} is missing (byte {})", line.len())
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,775 @@
+//! The decision module: what this server takes, runs and turns away.
+//!
+//! How it is called: `Brain::start` gets the settings, a seed and a `Host`; afterwards one method is called for
+//! each thing that happens, with the time since start: `txn_read`, `woken` (the one timer), `call_needed`,
+//! `call_ended`, `run_ended`, `caller_gone`, `drain`. It acts only by calling the host, at once, and returns
+//! nothing. The interface stands in `host.rs`, ids and products in `types.rs`. After a kill it is dropped.
+//!
+//! The ordinary path is that of "AIMD Queue Server" (docs/design.md): a window of running txns, grown by ALPHA
+//! on demand while the p99 of run time over SLA time has headroom, cut by BETA above 1 or by the breaker.
+
+use crate::host::Host;
+use crate::settings::Settings;
+use crate::types::{Arrival, Effect, Outcome, Product, TxnId};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+// The mechanism. Spans are ratios to the SLA times that the settings give.
+const ALPHA: f64 = 1.0;
+const BETA: f64 = 0.7;
+const HEADROOM: f64 = 0.8;
+const FAST_DECREASE_MULTIPLIER: f64 = 3.0;
+const EVALUATION: f64 = 0.5; // interval, of the shortest SLA time
+const SLIDING: f64 = 4.0; // latency window, of the longest SLA time
+const WARM_PER_CORE: f64 = 2.0; // ceiling, txns a core
+const COLD_PER_CORE: f64 = 1.0;
+
+// The level of value, by the time the hold takes to drain over the slack that txns have.
+const LEVEL_FROM: f64 = 0.3;
+const LEVEL_TO: f64 = 0.8;
+const HOPELESS: f64 = 0.6; // of a usual run: less time than that before the SLA time is not worth a start
+const PACE_GAIN: f64 = 0.1;
+const PACE_AT_FIRST: f64 = 0.25; // of the SLA time, until a run has ended
+
+// Guards, as shares of the limits that the settings give.
+const MEMORY_SHARE: f64 = 0.9;
+const CROWD_SHARE: f64 = 0.8;
+const CALLS_SHARE: f64 = 0.8;
+const QUIET_LOG: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Held,
+    Joined,
+    Running,
+    /// At a call that has not been made.
+    AtCall,
+    Calling,
+}
+
+#[derive(Clone, Debug)]
+struct Txn {
+    product: usize,
+    arrived: Duration,
+    due: Duration,
+    /// Its place in the hold: the SLA time, or the expiry once that is past.
+    order: Duration,
+    expiry: Duration,
+    kb: f64,
+    /// What the level is compared with.
+    worth: f64,
+    stage: Stage,
+    started: Duration,
+    /// Time spent at calls so far, and since when it stands at one.
+    call_wait: Duration,
+    call_since: Duration,
+    calls: u32,
+    /// It has had its final answer but still runs.
+    answered: bool,
+}
+
+/// An entry in the table of referenced txns.
+#[derive(Clone, Debug)]
+struct Kept {
+    until: Duration,
+    live: bool,
+    /// The repeat that took its place in the hold.
+    heir: Option<TxnId>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Expiry,
+    Redial,
+    Linger,
+    Key,
+}
+
+pub struct Brain<H: Host> {
+    host: H,
+    cfg: Settings,
+    seed: u64,
+    draws: u64,
+    products: Vec<Product>,
+    cores: f64,
+    tick: Duration,
+    txns: BTreeMap<TxnId, Txn>,
+    hold: BTreeSet<(Duration, TxnId)>,
+    kept: BTreeMap<TxnId, Kept>,
+    dues: BTreeSet<(Duration, Due, TxnId)>,
+    lingering: usize,
+    window: f64,
+    latencies: VecDeque<(Duration, f64)>,
+    pressure: bool,
+    evaluated: Duration,
+    /// Seconds on the cores that a run of each product takes, and its share of what is read.
+    pace: Vec<f64>,
+    seen: Vec<f64>,
+    /// Which products the level weighs first.
+    shed_first: Vec<bool>,
+    level: f64,
+    /// Seconds that a call takes.
+    call_pace: Option<f64>,
+    quotas: BTreeMap<String, (f64, Duration)>,
+    /// When the notice to leave came, and when the process is stopped.
+    leaving: Option<(Duration, Duration)>,
+    advertised: f64,
+    logged: BTreeMap<&'static str, Duration>,
+}
+
+impl<H: Host> Brain<H> {
+    pub fn start(cfg: Settings, seed: u64, now: Duration, mut host: H) -> Self {
+        let mut products = Vec::new();
+        while let Some(name) = cfg.text(&format!("profiles.{}.name", products.len())) {
+            let i = products.len();
+            let key = |field: &str| format!("profiles.{i}.{field}");
+            let expiry = cfg.span(&key("give_up")).unwrap_or(Duration::from_secs(5));
+            let effect = match cfg.text(&key("effect")) {
+                Some("retryable") => Effect::InquiryLike,
+                Some("dedup") => Effect::Referenced,
+                _ => Effect::OnceOnly,
+            };
+            products.push(Product {
+                name: name.to_string(),
+                effect,
+                sla: cfg.span(&key("goal_time")).filter(|s| !s.is_zero()).unwrap_or(expiry / 2),
+                expiry,
+                value: cfg.num(&key("points")).unwrap_or(1.0),
+                late: cfg.num(&key("late_worth")).unwrap_or(0.0),
+                window: cfg.span(&key("window")).unwrap_or(expiry * 4),
+                without: cfg.num(&format!("family_info.worth_without.{i}")).unwrap_or(0.0),
+            });
+        }
+        let cores = cfg.num("family_info.cores").filter(|c| *c >= 1.0).unwrap_or_else(|| {
+            host.log("setting family_info.cores missing or senseless: taken as 1");
+            1.0
+        });
+        for name in ["family_info.memory_kb", "rules.fall_multiple", "rules.answer_slack"] {
+            if cfg.num(name).is_none() {
+                host.log(&format!("setting {name} missing or senseless: a cautious default holds"));
+            }
+        }
+        let slack = cfg.span("rules.answer_slack").unwrap_or(Duration::from_millis(20));
+        let tick = (slack / 2).max(cfg.span("tick").unwrap_or_default()).max(Duration::from_millis(5));
+        host.health(true, true);
+        host.wake(tick);
+        let count = products.len();
+        let pace = products.iter().map(|p| p.sla.as_secs_f64() * PACE_AT_FIRST).collect();
+        Brain {
+            host,
+            cfg,
+            seed,
+            draws: 0,
+            products,
+            cores,
+            tick,
+            txns: BTreeMap::new(),
+            hold: BTreeSet::new(),
+            kept: BTreeMap::new(),
+            dues: BTreeSet::new(),
+            lingering: 0,
+            window: cores,
+            latencies: VecDeque::new(),
+            pressure: false,
+            evaluated: now,
+            pace,
+            seen: vec![1.0; count],
+            shed_first: vec![true; count],
+            level: 0.0,
+            call_pace: None,
+            quotas: BTreeMap::new(),
+            leaving: None,
+            advertised: f64::NAN,
+            logged: BTreeMap::new(),
+        }
+    }
+
+    /// A txn has been read and is now in the hold.
+    pub fn txn_read(&mut self, now: Duration, id: TxnId, read: &Arrival) {
+        self.run_dues(now);
+        let arrived = now.saturating_sub(read.lay);
+        let Some(product) = self.products.iter().position(|p| p.name == read.product) else {
+            return self.host.decline(id, None, false);
+        };
+        let p = self.products[product].clone();
+        let mut expiry = read.expiry.unwrap_or(arrived + p.expiry);
+        let stop = self.leaving.map(|(_, stop)| stop);
+        expiry = expiry.min(stop.unwrap_or(expiry));
+        self.seen.iter_mut().for_each(|s| *s *= 0.995);
+        self.seen[product] += 1.0;
+        let due = (arrived + p.sla).min(expiry);
+        let worth = self.worth(now, product, read);
+        let txn = Txn {
+            product,
+            arrived,
+            due,
+            order: due,
+            expiry,
+            kb: read.memory_kb.max(0.0),
+            worth,
+            stage: Stage::Held,
+            started: now,
+            call_wait: Duration::ZERO,
+            call_since: now,
+            calls: 0,
+            answered: false,
+        };
+        // A repeat never runs beside what it repeats: it takes the place of one still held, and is answered
+        // from one that has run. An id that is not in the table is from before it, or a twin not yet read.
+        let mut first = read.repeats;
+        while let Some(heir) = first.and_then(|f| self.kept.get(&f)).and_then(|k| k.heir) {
+            first = Some(heir);
+        }
+        let first = first.filter(|r| self.kept.contains_key(r) || self.txns.contains_key(r));
+        let held = first.is_some_and(|f| self.txns.get(&f).is_some_and(|t| t.stage == Stage::Held));
+        self.txns.insert(id, txn);
+        self.dues.insert((expiry.saturating_sub(self.tick), Due::Expiry, id));
+        if expiry <= now + self.tick {
+            return if first.is_some() { self.void(now, id) } else { self.turn_away(now, id) };
+        }
+        match first {
+            Some(_) if !held => {
+                self.txns.get_mut(&id).expect("just added").stage = Stage::Joined;
+                return self.host.join(id);
+            }
+            Some(f) => {
+                // Others read in this batch may still name the one whose place is taken.
+                self.turn_away(now, f);
+                let until = now + p.window;
+                self.kept.insert(f, Kept { until, live: false, heir: Some(id) });
+                self.dues.insert((until, Due::Key, f));
+            }
+            None => self.weigh(),
+        }
+        self.hold.insert((due, id));
+        let late_leaver = self.leaving.is_some_and(|(told, _)| arrived > told + self.grace());
+        let full = self.memory() > MEMORY_SHARE * self.memory_limit();
+        if late_leaver || full || (first.is_none() && worth < self.level) {
+            return self.turn_away(now, id);
+        }
+        if p.effect == Effect::Referenced || self.cfg.num("family_info.fresh_for").unwrap_or(0.0) > 0.0 {
+            self.keep(now, id, arrived, &p);
+        }
+        self.fill(now);
+        self.prune(now);
+    }
+
+    /// The timer has gone off; `gauges` stand in the order of the setting `family_info.meters`.
+    pub fn woken(&mut self, now: Duration, gauges: &[f64]) {
+        self.host.wake(self.tick);
+        self.run_dues(now);
+        let gauge = |name: &str| {
+            let mut names = (0..gauges.len()).map(|i| self.cfg.text(&format!("family_info.meters.{i}")));
+            names.position(|n| n == Some(name)).map(|i| gauges[i])
+        };
+        // Idle-core growth: cores idle while work waits, so the window grows by the number held.
+        if gauge("runnable").is_some_and(|r| r < self.cores) && !self.hold.is_empty() {
+            self.window = (self.window + self.hold.len() as f64).min(self.ceiling(now));
+        }
+        let shortest = self.products.iter().map(|p| p.sla).min().unwrap_or(self.tick * 20);
+        if now.saturating_sub(self.evaluated) >= shortest.mul_f64(EVALUATION) {
+            self.evaluate(now);
+        }
+        self.weigh();
+        self.fill(now);
+        self.prune(now);
+        self.make_calls(now);
+        self.advertise(now);
+    }
+
+    /// A running txn has come to a call.
+    pub fn call_needed(&mut self, now: Duration, id: TxnId) {
+        self.run_dues(now);
+        if let Some(txn) = self.txns.get_mut(&id).filter(|t| t.stage == Stage::Running) {
+            txn.stage = Stage::AtCall;
+            txn.call_since = now;
+            self.make_calls(now);
+            self.fill(now);
+        }
+    }
+
+    pub fn call_ended(&mut self, now: Duration, id: TxnId, how: Outcome, took: Duration) {
+        self.run_dues(now);
+        let Some(txn) = self.txns.get_mut(&id).filter(|t| t.stage == Stage::Calling) else { return };
+        txn.stage = Stage::AtCall;
+        let p = self.products[txn.product].clone();
+        if how == Outcome::Completed {
+            txn.stage = Stage::Running;
+            txn.call_wait += now.saturating_sub(txn.call_since);
+            let pace = self.call_pace.get_or_insert(took.as_secs_f64());
+            *pace += PACE_GAIN * (took.as_secs_f64() - *pace);
+        } else {
+            if how == Outcome::Overdue {
+                self.lingering += 1;
+                let linger = self.cfg.span("family_info.linger").unwrap_or_default();
+                self.dues.insert((now + linger, Due::Linger, id));
+                let pace = self.call_pace.get_or_insert(took.as_secs_f64());
+                *pace += PACE_GAIN * (took.as_secs_f64() - *pace).max(0.0);
+            }
+            // Again only where the call provably never ran, or may run twice, and the time suffices.
+            let again = how.never_ran() || (p.effect == Effect::InquiryLike && how != Outcome::Overdue);
+            if p.without > 0.0 && (!again || self.txns[&id].calls > 1) {
+                self.skip_call(now, id);
+            } else if again && self.txns[&id].calls < 5 {
+                self.dues.insert((now + p.sla.mul_f64(0.05), Due::Redial, id));
+            } else {
+                self.void(now, id);
+            }
+        }
+        self.make_calls(now);
+        self.fill(now);
+    }
+
+    pub fn run_ended(&mut self, now: Duration, id: TxnId, how: Outcome, took: Duration) {
+        if let Some(mut txn) = self.txns.remove(&id) {
+            self.dues.remove(&(txn.expiry.saturating_sub(self.tick), Due::Expiry, id));
+            if matches!(txn.stage, Stage::AtCall | Stage::Calling) {
+                txn.call_wait += now.saturating_sub(txn.call_since);
+            }
+            if how == Outcome::Completed && txn.stage != Stage::Joined {
+                let ran = took.saturating_sub(txn.call_wait).as_secs_f64();
+                let ratio = ran / self.products[txn.product].sla.as_secs_f64();
+                self.pace[txn.product] += PACE_GAIN * (ran - self.pace[txn.product]);
+                self.latencies.push_back((now, ratio));
+                if ratio > FAST_DECREASE_MULTIPLIER {
+                    // The fast circuit breaker.
+                    self.window = (self.window * BETA).max(self.cores);
+                    self.log(
+                        now,
+                        "breaker",
+                        format!("one run took {ratio:.1} SLA times, window {:.1}", self.window),
+                    );
+                }
+            }
+        }
+        self.run_dues(now);
+        self.make_calls(now);
+        self.fill(now);
+    }
+
+    /// Nobody waits for this txn any longer.
+    pub fn caller_gone(&mut self, now: Duration, id: TxnId) {
+        match self.txns.get(&id).map(|t| t.stage) {
+            Some(Stage::Held) => {
+                self.unhold(id);
+                if self.kept.remove(&id).is_some() {
+                    self.host.forget(id);
+                }
+            }
+            Some(Stage::Joined) => self.drop_txn(id),
+            Some(_) => self.abandon(id),
+            None => {}
+        }
+        self.run_dues(now);
+        self.fill(now);
+    }
+
+    /// The notice to leave: nothing that comes later than the grace is run, all is answered by `stop`.
+    pub fn drain(&mut self, now: Duration, stop: Duration) {
+        self.leaving = Some((now, stop));
+        self.host.health(false, true);
+        let ids: Vec<TxnId> = self.txns.keys().copied().collect();
+        for id in ids {
+            let Some(txn) = self.txns.get_mut(&id).filter(|t| t.expiry > stop) else { continue };
+            self.dues.remove(&(txn.expiry.saturating_sub(self.tick), Due::Expiry, id));
+            txn.expiry = stop;
+            self.dues.insert((stop.saturating_sub(self.tick), Due::Expiry, id));
+        }
+        let left = stop.saturating_sub(now);
+        self.log(now, "drain", format!("leaving in {left:?} with {} txns in hand", self.txns.len()));
+        self.run_dues(now);
+    }
+
+    pub fn host(&mut self) -> &mut H {
+        &mut self.host
+    }
+
+    // ---- the window ----
+
+    /// One evaluation of the window.
+    fn evaluate(&mut self, now: Duration) {
+        self.evaluated = now;
+        let longest = self.products.iter().map(|p| p.sla).max().unwrap_or(self.tick);
+        let since = now.saturating_sub(longest.mul_f64(SLIDING));
+        self.latencies.retain(|(at, _)| *at >= since);
+        let mut ratios: Vec<f64> = self.latencies.iter().map(|(_, r)| *r).collect();
+        ratios.sort_by(f64::total_cmp);
+        let at = (ratios.len() as f64 * 0.99).ceil() as usize;
+        let p99 = ratios.get(at.max(1) - 1).copied().unwrap_or(0.0);
+        if p99 > 1.0 {
+            self.window *= BETA;
+            self.log(now, "cut", format!("p99 at {p99:.2} SLA times, window {:.1}", self.window));
+        } else if p99 < HEADROOM && self.pressure {
+            self.window += ALPHA;
+        }
+        self.window = self.window.min(self.ceiling(now)).max(self.cores);
+        self.pressure = false;
+        self.choose_shed();
+    }
+
+    /// The most that the window may be: the cold figure a core after a cold start, rising to the warm one.
+    fn ceiling(&self, now: Duration) -> f64 {
+        let warm = self.cfg.num("window.per_core").unwrap_or(WARM_PER_CORE);
+        let cold = self.cfg.num("window.cold_per_core").unwrap_or(COLD_PER_CORE).min(warm);
+        (self.cores * (cold + (warm - cold) * self.warmth(now))).max(self.cores)
+    }
+
+    /// How far this server has warmed up at least, 0 to 1.
+    fn warmth(&self, now: Duration) -> f64 {
+        match self.cfg.span("rules.warm_after").filter(|w| !w.is_zero()) {
+            Some(w) if self.cfg.flag("family_info.cold").unwrap_or(false) => {
+                (now.as_secs_f64() / w.as_secs_f64()).min(1.0)
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Starts held txns by due time while the window has room.
+    fn fill(&mut self, now: Duration) {
+        while let Some(&(_, id)) = self.hold.first() {
+            if self.count(|t| t.stage == Stage::Running) as f64 + 1.0 > self.window
+                || !self.start_txn(now, id)
+            {
+                self.pressure = true;
+                return;
+            }
+        }
+    }
+
+    /// The only place where a run begins: all guards of the four rules stand here.
+    fn start_txn(&mut self, now: Duration, id: TxnId) -> bool {
+        let Some(txn) = self.txns.get(&id).filter(|t| t.stage == Stage::Held && !t.answered) else {
+            return false;
+        };
+        let effect = self.products[txn.product].effect;
+        if self.leaving.is_some_and(|(told, stop)| txn.arrived > told + self.grace() || now >= stop)
+            || now + self.tick >= txn.expiry
+            || (effect == Effect::Referenced && !self.kept.get(&id).is_some_and(|k| k.live))
+        {
+            self.turn_away(now, id);
+            return true;
+        }
+        // Calls return to the cores on their own, so they count for the crowd.
+        let crowd = self.count(|t| !matches!(t.stage, Stage::Held | Stage::Joined)) as f64 + 1.0;
+        let memory = self.memory() + txn.kb * (self.run_factor() - 1.0);
+        if crowd > CROWD_SHARE * self.crowd_limit(now) || memory > MEMORY_SHARE * self.memory_limit() {
+            return false;
+        }
+        self.unhold_only(id);
+        let txn = self.txns.get_mut(&id).expect("looked up above");
+        txn.stage = Stage::Running;
+        txn.started = now;
+        self.host.start(id);
+        true
+    }
+
+    fn crowd_limit(&self, now: Duration) -> f64 {
+        let from = self.cfg.num("rules.cold_from").unwrap_or(0.0).min(1.0);
+        let speed = from + (1.0 - from) * self.warmth(now);
+        let multiple = self.cfg.num("rules.fall_multiple").unwrap_or(2.0).max(1.0);
+        (self.cores * (1.0 + (multiple - 1.0) * speed)).max((self.cores + 1.0) / CROWD_SHARE)
+    }
+
+    fn run_factor(&self) -> f64 {
+        self.cfg.num("family_info.run_factor").unwrap_or(8.0).max(1.0)
+    }
+
+    fn memory_limit(&self) -> f64 {
+        self.cfg.num("family_info.memory_kb").unwrap_or(f64::MAX)
+    }
+
+    fn memory(&self) -> f64 {
+        let factor = self.run_factor();
+        let of = |t: &Txn| t.kb * if matches!(t.stage, Stage::Held | Stage::Joined) { 1.0 } else { factor };
+        let keys = self.kept.values().filter(|k| k.live).count() as f64;
+        let key_kb = self.cfg.num("family_info.key_kb").unwrap_or(0.0);
+        self.txns.values().map(of).sum::<f64>() + keys * key_kb
+    }
+
+    fn grace(&self) -> Duration {
+        self.cfg.span("rules.stop_sending_within").unwrap_or_default()
+    }
+
+    fn count(&self, which: impl Fn(&Txn) -> bool) -> usize {
+        self.txns.values().filter(|t| which(t)).count()
+    }
+
+    // ---- the hold and the level of value ----
+
+    /// What the level is compared with: below 1 for products that are shed first, above for the others, by
+    /// the user's place within the product, so that a level cuts the same users everywhere.
+    fn worth(&mut self, now: Duration, product: usize, read: &Arrival) -> f64 {
+        let place = (read.rank.clamp(0.0, 1.0) * self.products.len() as f64).fract();
+        let worth = place + if self.shed_first[product] { 0.0 } else { 1.0 };
+        let Some(tenant) = &read.tenant else { return worth };
+        // What a tenant sends beyond its share is worth little: this server's part of its quota is a bucket.
+        let names = (0..).map_while(|i| self.cfg.text(&format!("tenants.{i}.name")).map(|n| (i, n)));
+        let Some((i, _)) = names.into_iter().find(|(_, n)| n == tenant) else { return worth };
+        let rate = self.cfg.num(&format!("tenants.{i}.quota_per_s")).unwrap_or(f64::MAX)
+            / self.cfg.num("peers_total").unwrap_or(1.0).max(1.0);
+        let (left, at) = self.quotas.entry(tenant.clone()).or_insert((rate, now));
+        *left = (*left + rate * now.saturating_sub(*at).as_secs_f64()).min(rate.max(1.0));
+        *at = now;
+        if *left < 1.0 {
+            return worth * self.cfg.num("over_share_worth").unwrap_or(1.0).min(1.0);
+        }
+        *left -= 1.0;
+        worth
+    }
+
+    /// Which products lose first, evenly, when not all can be run: the cheapest by value for each second on
+    /// the cores, as many as cost the goal least; its weight on the worst-served product speaks for more.
+    fn choose_shed(&mut self) {
+        let mut order: Vec<usize> = (0..self.products.len()).collect();
+        let gain = |i: usize| self.products[i].value / self.pace[i].max(1e-9);
+        order.sort_by(|a, b| gain(*a).total_cmp(&gain(*b)));
+        let value: f64 = order.iter().map(|i| self.seen[*i] * self.products[*i].value).sum();
+        let work: f64 = order.iter().map(|i| self.seen[*i] * self.pace[*i]).sum();
+        let mix = |name: &str| self.cfg.num(&format!("objective_mix.{name}")).unwrap_or(0.0);
+        let (whole, worst) = (mix("whole") + mix("worst_window"), mix("worst_class"));
+        let (mut lost, mut freed, mut best) = (0.0, 0.0, (f64::MAX, 0));
+        for (n, i) in order.iter().enumerate() {
+            lost += self.seen[*i] * self.products[*i].value;
+            freed += self.seen[*i] * self.pace[*i];
+            let price = (whole * lost / value + worst) / (freed / work).max(1e-9);
+            if price < best.0 {
+                best = (price, n);
+            }
+        }
+        self.shed_first = vec![false; order.len()];
+        order.iter().take(best.1 + 1).for_each(|i| self.shed_first[*i] = true);
+    }
+
+    /// Seconds until what is held now has been started.
+    fn wait(&self) -> f64 {
+        self.hold.iter().map(|(_, id)| self.pace[self.txns[id].product]).sum::<f64>() / self.window
+    }
+
+    /// Moves the level of value with the hold.
+    fn weigh(&mut self) {
+        let seen: f64 = self.seen.iter().sum();
+        let slack = |i: usize| (self.products[i].sla.as_secs_f64() - self.pace[i]).max(0.0) * self.seen[i];
+        let slack = (0..self.products.len()).map(slack).sum::<f64>() / seen.max(1e-9);
+        let filled = self.wait() / slack.max(1e-3);
+        self.level = ((filled - LEVEL_FROM) / (LEVEL_TO - LEVEL_FROM)).clamp(0.0, 2.0);
+    }
+
+    /// Turns away at once what cannot be in time any more. Where the hold as a whole cannot be, the least
+    /// worth among those ahead goes, until the rest can.
+    fn prune(&mut self, now: Duration) {
+        let mut ahead: Vec<(f64, TxnId, f64)> = Vec::new();
+        let mut wait = 0.0;
+        let hold: Vec<(Duration, TxnId)> = self.hold.iter().copied().collect();
+        for (_, id) in hold {
+            let Some(txn) = self.txns.get_mut(&id) else { continue };
+            let run = self.pace[txn.product];
+            let p = &self.products[txn.product];
+            let mut slack = txn.due.saturating_sub(now).as_secs_f64() - run * HOPELESS;
+            if slack < 0.0 && p.late > 0.0 && self.level <= 0.0 {
+                // Late answers still earn a part while nothing else wants the cores.
+                if txn.order < txn.expiry {
+                    self.hold.remove(&(txn.order, id));
+                    txn.order = txn.expiry;
+                    self.hold.insert((txn.order, id));
+                }
+                slack = txn.expiry.saturating_sub(now).as_secs_f64() - run;
+            }
+            if slack < 0.0 {
+                self.turn_away(now, id);
+                continue;
+            }
+            ahead.push((txn.worth, id, run));
+            wait += run / self.window;
+            if wait - run / self.window > slack {
+                let least = (0..ahead.len()).min_by(|a, b| ahead[*a].0.total_cmp(&ahead[*b].0)).unwrap_or(0);
+                let (_, least, run) = ahead.remove(least);
+                wait -= run / self.window;
+                self.turn_away(now, least);
+            }
+        }
+    }
+
+    // ---- answers ----
+
+    /// Gives up on a txn that has not run, and says when to come back.
+    fn turn_away(&mut self, now: Duration, id: TxnId) {
+        self.unhold(id);
+        if self.kept.remove(&id).is_some() {
+            self.host.forget(id);
+        }
+        let advice = self.cfg.flag("limits.retry_after").unwrap_or(false);
+        let most = self.cfg.span("limits.max_retry_after").unwrap_or_default();
+        let back_in = if self.leaving.is_some() {
+            most
+        } else {
+            Duration::from_secs_f64(self.wait() * (0.5 + self.chance())).min(most)
+        };
+        let level = self.level;
+        if level > 0.0 {
+            self.log(
+                now,
+                "level",
+                format!("turning away under level {level:.2}, hold takes {:.2} s", self.wait()),
+            );
+        }
+        self.host.decline(id, Some(back_in).filter(|b| advice && !b.is_zero()), false);
+    }
+
+    /// The error that promises nothing, for what has run or repeats what has run.
+    fn void(&mut self, now: Duration, id: TxnId) {
+        match self.txns.get(&id).map(|t| t.stage) {
+            Some(Stage::Held) if !self.kept.contains_key(&id) => self.unhold(id),
+            Some(Stage::Held) => return self.turn_away(now, id),
+            Some(Stage::Joined) => self.drop_txn(id),
+            _ => {}
+        }
+        self.host.void(id);
+        self.abandon(id);
+    }
+
+    /// A run that nobody waits for: it is stopped where that is allowed and may be done again.
+    fn abandon(&mut self, id: TxnId) {
+        let Some(txn) = self.txns.get_mut(&id) else { return };
+        txn.answered = true;
+        let halt = self.cfg.text("family_info.halt").unwrap_or("none") != "none";
+        if halt && txn.stage == Stage::Running && self.products[txn.product].effect == Effect::InquiryLike {
+            self.host.stop(id);
+        }
+    }
+
+    fn unhold_only(&mut self, id: TxnId) {
+        if let Some(txn) = self.txns.get(&id) {
+            self.hold.remove(&(txn.order, id));
+        }
+    }
+
+    fn unhold(&mut self, id: TxnId) {
+        self.unhold_only(id);
+        self.drop_txn(id);
+    }
+
+    fn drop_txn(&mut self, id: TxnId) {
+        if let Some(txn) = self.txns.remove(&id) {
+            self.dues.remove(&(txn.expiry.saturating_sub(self.tick), Due::Expiry, id));
+        }
+    }
+
+    /// Enters a txn in the table for its window, counted from its arrival.
+    fn keep(&mut self, now: Duration, id: TxnId, arrived: Duration, p: &Product) {
+        let fresh = self.cfg.span("family_info.fresh_for").unwrap_or_default();
+        let window = if p.effect == Effect::Referenced { p.window } else { fresh };
+        let span = (arrived + window + self.tick * 2).saturating_sub(now);
+        if p.effect == Effect::OnceOnly || span.is_zero() {
+            return;
+        }
+        self.host.keep(id, span);
+        self.kept.insert(id, Kept { until: now + span, live: true, heir: None });
+        self.dues.insert((now + span, Due::Key, id));
+    }
+
+    // ---- calls ----
+
+    /// Makes the calls that wait, by due time, while their own bound has room; goes on without where the time
+    /// no longer suffices.
+    fn make_calls(&mut self, now: Duration) {
+        let mut waiting: Vec<(Duration, TxnId)> = self
+            .txns
+            .iter()
+            .filter(|(_, t)| t.stage == Stage::AtCall && !t.answered)
+            .map(|(i, t)| (t.due, *i))
+            .collect();
+        waiting.sort();
+        let redials: BTreeSet<TxnId> =
+            self.dues.iter().filter(|(_, d, _)| *d == Due::Redial).map(|(_, _, i)| *i).collect();
+        let bound = self.cfg.num("family_info.calls_out").map_or(f64::MAX, |c| (c * CALLS_SHARE).max(1.0));
+        for (_, id) in waiting {
+            let out = self.count(|t| t.stage == Stage::Calling) + self.lingering;
+            let txn = &self.txns[&id];
+            let p = &self.products[txn.product];
+            let rest = Duration::from_secs_f64(self.pace[txn.product] * 0.5);
+            let usual = Duration::from_secs_f64(self.call_pace.unwrap_or(0.0));
+            let to_due = txn.due.saturating_sub(now + rest);
+            let to_expiry = txn.expiry.saturating_sub(now + rest + self.tick);
+            if p.without > 0.0 && to_due < usual && (to_due > Duration::ZERO || p.late <= 0.0) {
+                self.skip_call(now, id);
+            } else if out as f64 + 1.0 <= bound && !redials.contains(&id) {
+                let least = Duration::from_millis(10);
+                let give_up = if p.without > 0.0 && to_due > least { to_due } else { to_expiry };
+                let txn = self.txns.get_mut(&id).expect("listed above");
+                txn.stage = Stage::Calling;
+                txn.calls += 1;
+                self.host.call(id, give_up.max(least));
+            }
+        }
+    }
+
+    fn skip_call(&mut self, now: Duration, id: TxnId) {
+        if let Some(txn) = self.txns.get_mut(&id) {
+            txn.stage = Stage::Running;
+            txn.call_wait += now.saturating_sub(txn.call_since);
+            self.host.skip_call(id);
+        }
+    }
+
+    // ---- the rest ----
+
+    /// Everything whose time has come.
+    fn run_dues(&mut self, now: Duration) {
+        while let Some(&(at, what, id)) = self.dues.first().filter(|(at, _, _)| *at <= now) {
+            self.dues.remove(&(at, what, id));
+            match what {
+                Due::Expiry => match self.txns.get(&id).map(|t| (t.stage, t.answered)) {
+                    Some((Stage::Held, _)) => self.turn_away(now, id),
+                    Some((_, false)) => self.void(now, id),
+                    _ => {}
+                },
+                Due::Redial => {}
+                Due::Linger => self.lingering = self.lingering.saturating_sub(1),
+                Due::Key => {
+                    // The id outlives its entry by a window: a repeat may be read long after it came.
+                    let Some(kept) = self.kept.get_mut(&id).filter(|k| k.until <= now) else { continue };
+                    if kept.live {
+                        kept.live = false;
+                        let longest = self.products.iter().map(|p| p.window).max().unwrap_or_default();
+                        kept.until = now + longest;
+                        self.dues.insert((now + longest, Due::Key, id));
+                    } else {
+                        self.kept.remove(&id);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The free value, in the form that the settings ask for.
+    fn advertise(&mut self, now: Duration) {
+        let shed = self.level.min(1.0);
+        let value = match self.cfg.text("family_info.advert") {
+            Some("threshold") => shed / self.products.len().max(1) as f64,
+            Some("share_of") => (0.3 + 0.7 * self.warmth(now)) * (1.0 - shed / 2.0),
+            Some("window") => (self.window * 3.0).ceil(),
+            _ => return,
+        };
+        if value != self.advertised {
+            self.advertised = value;
+            self.host.advertise(value);
+        }
+    }
+
+    /// From 0 to 1, by the seed and a counter.
+    fn chance(&mut self) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        (self.seed, self.draws).hash(&mut hasher);
+        self.draws += 1;
+        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// One line of a kind now and then.
+    fn log(&mut self, now: Duration, kind: &'static str, line: String) {
+        if self.logged.get(kind).is_none_or(|at| now.saturating_sub(*at) >= QUIET_LOG) {
+            self.logged.insert(kind, now);
+            self.host.log(&line);
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decides, inside each server of a fleet, what it takes, runs and turns away.
+//!
+//! `Brain` is the decision module: one instance a server, one method for each thing that can happen.
+//! It acts through the `Host` it is handed at start and knows nothing but what it is told.
+
+pub mod brain;
+pub mod host;
+pub mod settings;
+pub mod types;
+
+pub use brain::Brain;
+pub use host::Host;
+pub use settings::{Settings, Value};
+pub use types::{Arrival, CallerId, Effect, Outcome, Product, TxnId};
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,88 @@
+//! Ids, products and outcomes. No decision lives here.
+
+use std::time::Duration;
+
+/// A txn as the server knows it; carries no meaning beyond identity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TxnId(pub u32);
+
+/// Who sent a txn.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallerId(pub u64);
+
+/// May a txn of a product run again?
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It may.
+    InquiryLike,
+    /// A repeat is known by its mark; it runs once within the window.
+    Referenced,
+    /// Never.
+    OnceOnly,
+}
+
+/// A kind of txn, as the settings describe it.
+#[derive(Clone, Debug)]
+pub struct Product {
+    pub name: String,
+    pub effect: Effect,
+    /// An answer within this time earns full value.
+    pub sla: Duration,
+    /// How long a client waits across all its tries.
+    pub expiry: Duration,
+    pub value: f64,
+    /// Share of the value earned after the SLA time.
+    pub late: f64,
+    /// How long a repeat may come after the first.
+    pub window: Duration,
+    /// Share of the value kept when a call is left out.
+    pub without: f64,
+}
+
+/// How a run or a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Completed,
+    Errored,
+    /// Turned away unexamined.
+    Saturated,
+    /// Abandoned; may have had its effect.
+    Overdue,
+    /// What lies below could not be reached.
+    Unreachable,
+    /// Cut off part way; may have had its effect.
+    Severed,
+    /// The run was stopped, or had nobody left to answer.
+    Recalled,
+    /// Nothing started: the txn was already over.
+    Superseded,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that nothing was done.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Saturated | Outcome::Unreachable | Outcome::Superseded)
+    }
+}
+
+/// What a txn says of itself when it has been read.
+#[derive(Clone, Debug, Default)]
+pub struct Arrival {
+    pub product: String,
+    pub tenant: Option<String>,
+    pub subject: Option<String>,
+    /// When its caller gives up, on the instance's clock.
+    pub expiry: Option<Duration>,
+    /// Estimated work on a core of standard speed.
+    pub work: Option<Duration>,
+    pub memory_kb: f64,
+    /// Position by value from 0 up to 1: one band a product, users spread within it.
+    pub rank: f64,
+    pub retry: bool,
+    pub write: bool,
+    pub caller: CallerId,
+    /// How long it lay unread.
+    pub lay: Duration,
+    /// The kept txn that this one repeats.
+    pub repeats: Option<TxnId>,
+}
