Credit a caller is twice the window over the callers

Told apart from slow servers: both kinds of machine suffered alike and the tries for each txn were 1.9. It could turn work away where one caller carries nearly all the traffic.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,6 +36,7 @@
 const MEMORY_SHARE: f64 = 0.9;
 const CROWD_SHARE: f64 = 0.8;
 const CALLS_SHARE: f64 = 0.8;
+const CREDIT: f64 = 2.0; // txns out with us for each slot, split over the callers
 const QUIET_LOG: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -748,7 +749,9 @@
         let value = match self.cfg.text("family_info.advert") {
             Some("threshold") => shed / self.products.len().max(1) as f64,
             Some("share_of") => (0.3 + 0.7 * self.warmth(now)) * (1.0 - shed / 2.0),
-            Some("window") => (self.window * 3.0).ceil(),
+            Some("window") => (self.window * CREDIT
+                / self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0))
+            .max(1.0),
             _ => return,
         };
         if value != self.advertised {
