Credit by what the window gets done in part of an SLA time

Cause: slow and fast machines gave callers the same credit, so the slow ones held more than they could do.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,7 +36,7 @@
 const MEMORY_SHARE: f64 = 0.9;
 const CROWD_SHARE: f64 = 0.8;
 const CALLS_SHARE: f64 = 0.8;
-const CREDIT: f64 = 2.0; // txns out with us for each slot, split over the callers
+const CREDIT: f64 = 0.45; // txns out with us in all: what the window gets done in this share of an SLA time
 const QUIET_LOG: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -547,11 +547,15 @@
         self.hold.iter().map(|(_, id)| self.pace[self.txns[id].product]).sum::<f64>() / self.window
     }
 
+    /// The mean of a figure over the products, by their share of what is read.
+    fn usual(&self, figure: impl Fn(usize) -> f64) -> f64 {
+        let sum: f64 = self.seen.iter().enumerate().map(|(i, s)| s * figure(i)).sum();
+        sum / self.seen.iter().sum::<f64>().max(1e-9)
+    }
+
     /// Moves the level of value with the hold.
     fn weigh(&mut self) {
-        let seen: f64 = self.seen.iter().sum();
-        let slack = |i: usize| (self.products[i].sla.as_secs_f64() - self.pace[i]).max(0.0) * self.seen[i];
-        let slack = (0..self.products.len()).map(slack).sum::<f64>() / seen.max(1e-9);
+        let slack = self.usual(|i| (self.products[i].sla.as_secs_f64() - self.pace[i]).max(0.0));
         let filled = self.wait() / slack.max(1e-3);
         self.level = ((filled - LEVEL_FROM) / (LEVEL_TO - LEVEL_FROM)).clamp(0.0, 2.0);
     }
@@ -749,9 +753,13 @@
         let value = match self.cfg.text("family_info.advert") {
             Some("threshold") => shed / self.products.len().max(1) as f64,
             Some("share_of") => (0.3 + 0.7 * self.warmth(now)) * (1.0 - shed / 2.0),
-            Some("window") => (self.window * CREDIT
-                / self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0))
-            .max(1.0),
+            Some("window") => {
+                let callers = self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0);
+                (self.window
+                    * (CREDIT * self.usual(|i| self.products[i].sla.as_secs_f64() / self.pace[i].max(1e-3)))
+                    / callers)
+                    .max(1.0)
+            }
             _ => return,
         };
         if value != self.advertised {
