Run times are kept in warm seconds and scaled by the speed a cold server has at least

Cause: successors after a deploy start at a fifth of their speed and ran txns that could not be in time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -104,7 +104,7 @@
     latencies: VecDeque<(Duration, f64)>,
     pressure: bool,
     evaluated: Duration,
-    /// Seconds on the cores that a run of each product takes, and its share of what is read.
+    /// Seconds on the cores that a run of each product takes once warm, and its share of what is read.
     pace: Vec<f64>,
     seen: Vec<f64>,
     /// Which products the level weighs first.
@@ -241,7 +241,7 @@
                 self.kept.insert(f, Kept { until, live: false, heir: Some(id) });
                 self.dues.insert((until, Due::Key, f));
             }
-            None => self.weigh(),
+            None => self.weigh(now),
         }
         self.hold.insert((due, id));
         let late_leaver = self.leaving.is_some_and(|(told, _)| arrived > told + self.grace());
@@ -272,7 +272,7 @@
         if now.saturating_sub(self.evaluated) >= shortest.mul_f64(EVALUATION) {
             self.evaluate(now);
         }
-        self.weigh();
+        self.weigh(now);
         self.fill(now);
         self.prune(now);
         self.make_calls(now);
@@ -331,7 +331,8 @@
             if how == Outcome::Completed && txn.stage != Stage::Joined {
                 let ran = took.saturating_sub(txn.call_wait).as_secs_f64();
                 let ratio = ran / self.products[txn.product].sla.as_secs_f64();
-                self.pace[txn.product] += PACE_GAIN * (ran - self.pace[txn.product]);
+                let warm = ran * self.speed(txn.started);
+                self.pace[txn.product] += PACE_GAIN * (warm - self.pace[txn.product]);
                 self.latencies.push_back((now, ratio));
                 if ratio > FAST_DECREASE_MULTIPLIER {
                     // The fast circuit breaker.
@@ -466,10 +467,19 @@
     }
 
     fn crowd_limit(&self, now: Duration) -> f64 {
-        let from = self.cfg.num("rules.cold_from").unwrap_or(0.0).min(1.0);
-        let speed = from + (1.0 - from) * self.warmth(now);
         let multiple = self.cfg.num("rules.fall_multiple").unwrap_or(2.0).max(1.0);
-        (self.cores * (1.0 + (multiple - 1.0) * speed)).max((self.cores + 1.0) / CROWD_SHARE)
+        (self.cores * (1.0 + (multiple - 1.0) * self.speed(now))).max((self.cores + 1.0) / CROWD_SHARE)
+    }
+
+    /// The share of its speed that this server has at least.
+    fn speed(&self, now: Duration) -> f64 {
+        let from = self.cfg.num("rules.cold_from").unwrap_or(0.0).clamp(0.05, 1.0);
+        from + (1.0 - from) * self.warmth(now)
+    }
+
+    /// Seconds that a run of this product takes on the cores at present.
+    fn run_time(&self, now: Duration, product: usize) -> f64 {
+        self.pace[product] / self.speed(now)
     }
 
     fn run_factor(&self) -> f64 {
@@ -543,8 +553,8 @@
     }
 
     /// Seconds until what is held now has been started.
-    fn wait(&self) -> f64 {
-        self.hold.iter().map(|(_, id)| self.pace[self.txns[id].product]).sum::<f64>() / self.window
+    fn wait(&self, now: Duration) -> f64 {
+        self.hold.iter().map(|(_, id)| self.run_time(now, self.txns[id].product)).sum::<f64>() / self.window
     }
 
     /// The mean of a figure over the products, by their share of what is read.
@@ -554,9 +564,9 @@
     }
 
     /// Moves the level of value with the hold.
-    fn weigh(&mut self) {
-        let slack = self.usual(|i| (self.products[i].sla.as_secs_f64() - self.pace[i]).max(0.0));
-        let filled = self.wait() / slack.max(1e-3);
+    fn weigh(&mut self, now: Duration) {
+        let slack = self.usual(|i| (self.products[i].sla.as_secs_f64() - self.run_time(now, i)).max(0.0));
+        let filled = self.wait(now) / slack.max(1e-3);
         self.level = ((filled - LEVEL_FROM) / (LEVEL_TO - LEVEL_FROM)).clamp(0.0, 2.0);
     }
 
@@ -566,9 +576,10 @@
         let mut ahead: Vec<(f64, TxnId, f64)> = Vec::new();
         let mut wait = 0.0;
         let hold: Vec<(Duration, TxnId)> = self.hold.iter().copied().collect();
+        let paces: Vec<f64> = (0..self.products.len()).map(|i| self.run_time(now, i)).collect();
         for (_, id) in hold {
             let Some(txn) = self.txns.get_mut(&id) else { continue };
-            let run = self.pace[txn.product];
+            let run = paces[txn.product];
             let p = &self.products[txn.product];
             let mut slack = txn.due.saturating_sub(now).as_secs_f64() - run * HOPELESS;
             if slack < 0.0 && p.late > 0.0 && self.level <= 0.0 {
@@ -608,14 +619,14 @@
         let back_in = if self.leaving.is_some() {
             most
         } else {
-            Duration::from_secs_f64(self.wait() * (0.5 + self.chance())).min(most)
+            Duration::from_secs_f64(self.wait(now) * (0.5 + self.chance())).min(most)
         };
         let level = self.level;
         if level > 0.0 {
             self.log(
                 now,
                 "level",
-                format!("turning away under level {level:.2}, hold takes {:.2} s", self.wait()),
+                format!("turning away under level {level:.2}, hold takes {:.2} s", self.wait(now)),
             );
         }
         self.host.decline(id, Some(back_in).filter(|b| advice && !b.is_zero()), false);
@@ -692,7 +703,7 @@
             let out = self.count(|t| t.stage == Stage::Calling) + self.lingering;
             let txn = &self.txns[&id];
             let p = &self.products[txn.product];
-            let rest = Duration::from_secs_f64(self.pace[txn.product] * 0.5);
+            let rest = Duration::from_secs_f64(self.run_time(now, txn.product) * 0.5);
             let usual = Duration::from_secs_f64(self.call_pace.unwrap_or(0.0));
             let to_due = txn.due.saturating_sub(now + rest);
             let to_expiry = txn.expiry.saturating_sub(now + rest + self.tick);
@@ -756,7 +767,9 @@
             Some("window") => {
                 let callers = self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0);
                 (self.window
-                    * (CREDIT * self.usual(|i| self.products[i].sla.as_secs_f64() / self.pace[i].max(1e-3)))
+                    * (CREDIT
+                        * self
+                            .usual(|i| self.products[i].sla.as_secs_f64() / self.run_time(now, i).max(1e-3)))
                     / callers)
                     .max(1.0)
             }
