--- a/src/brain.rs
+++ b/src/brain.rs
@@ -107,6 +107,8 @@
     /// Seconds on the cores that a run of each product takes once warm, and its share of what is read.
     pace: Vec<f64>,
     seen: Vec<f64>,
+    /// Seconds that txns lie unread, of late.
+    unread: f64,
     /// Which products the level weighs first.
     shed_first: Vec<bool>,
     level: f64,
@@ -176,6 +178,7 @@
             evaluated: now,
             pace,
             seen: vec![1.0; count],
+            unread: 0.0,
             shed_first: vec![true; count],
             level: 0.0,
             call_pace: None,
@@ -190,6 +193,7 @@
     pub fn txn_read(&mut self, now: Duration, id: TxnId, read: &Arrival) {
         self.run_dues(now);
         let arrived = now.saturating_sub(read.lay);
+        self.unread += PACE_GAIN * (read.lay.as_secs_f64() - self.unread);
         let Some(product) = self.products.iter().position(|p| p.name == read.product) else {
             return self.host.decline(id, None, false);
         };
@@ -252,8 +256,8 @@
         if p.effect == Effect::Referenced || self.cfg.num("family_info.fresh_for").unwrap_or(0.0) > 0.0 {
             self.keep(now, id, arrived, &p);
         }
-        self.fill(now);
         self.prune(now);
+        self.fill(now);
     }
 
     /// The timer has gone off; `gauges` stand in the order of the setting `family_info.meters`.
@@ -273,8 +277,8 @@
             self.evaluate(now);
         }
         self.weigh(now);
-        self.fill(now);
         self.prune(now);
+        self.fill(now);
         self.make_calls(now);
         self.advertise(now);
     }
@@ -629,6 +633,7 @@
                 format!("turning away under level {level:.2}, hold takes {:.2} s", self.wait(now)),
             );
         }
+        self.advertise(now);
         self.host.decline(id, Some(back_in).filter(|b| advice && !b.is_zero()), false);
     }
 
@@ -766,15 +771,14 @@
             Some("share_of") => (0.3 + 0.7 * self.warmth(now)) * (1.0 - shed / 2.0),
             Some("window") => {
                 let callers = self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0);
-                (self.window
-                    * (CREDIT
-                        * self
-                            .usual(|i| self.products[i].sla.as_secs_f64() / self.run_time(now, i).max(1e-3)))
-                    / callers)
-                    .max(1.0)
+                let stay = |i: usize| self.run_time(now, i) + self.unread;
+                let gets_done = self.usual(|i| self.products[i].sla.as_secs_f64() / stay(i).max(1e-3));
+                self.window * CREDIT * gets_done / callers
             }
             _ => return,
         };
+        // Told anew only when it has moved by a twentieth.
+        let value = if value < 10.0 { (value * 20.0).round() / 20.0 } else { value.round() };
         if value != self.advertised {
             self.advertised = value;
             self.host.advertise(value);
