Calls get an AIMD window of their own; while they are slow only the dearest are made

Cause: all calls queue at one crowded dependency, and cheap calls that an answer can do without stand before the dear ones. Told apart from busy cores by run times less calls. Change: a calls window cut when the smoothed call time passes 2.5 times its best, grown in steps, at least a quarter of the share; calls by what leaving them out loses; the cheaper ones left out while calls are slow. Covers hangs and crowds below alike; it could harm where a dependency is always this uneven.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,11 +36,18 @@
 const MEMORY_SHARE: f64 = 0.9;
 const CROWD_SHARE: f64 = 0.8;
 const CALLS_SHARE: f64 = 0.8;
+// Calls have a window of their own, cut when they take this many times what they took when all was well.
+const CALLS_SLOW: f64 = 2.5;
+const CALLS_LEAST: f64 = 0.25; // of this server's share
+const CALLS_STEP: f64 = 0.1;
+const CALLS_KNOWN: u32 = 20; // calls until their usual time is known
+const CALLS_AT_FIRST: f64 = 0.4;
 const CREDIT: f64 = 0.45; // txns out with us in all: what the window gets done in this share of an SLA time
 const QUIET_LOG: Duration = Duration::from_secs(5);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Stage {
+    #[default]
     Held,
     Joined,
     Running,
@@ -49,7 +56,7 @@
     Calling,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Txn {
     product: usize,
     arrived: Duration,
@@ -112,8 +119,13 @@
     /// Which products the level weighs first.
     shed_first: Vec<bool>,
     level: f64,
-    /// Seconds that a call takes.
-    call_pace: Option<f64>,
+    /// Calls at once, under 1: a share of the time; seconds a call takes of late, and when all is well.
+    calls_window: f64,
+    call_pace: f64,
+    call_base: f64,
+    calls_cut: Duration,
+    calls_seen: u32,
+    called: Duration,
     quotas: BTreeMap<String, (f64, Duration)>,
     /// When the notice to leave came, and when the process is stopped.
     leaving: Option<(Duration, Duration)>,
@@ -158,6 +170,8 @@
         host.health(true, true);
         host.wake(tick);
         let count = products.len();
+        let calls_window =
+            cfg.num("family_info.calls_out").filter(|c| *c > 0.0).unwrap_or(f64::MAX) * CALLS_AT_FIRST;
         let pace = products.iter().map(|p| p.sla.as_secs_f64() * PACE_AT_FIRST).collect();
         Brain {
             host,
@@ -181,7 +195,12 @@
             unread: 0.0,
             shed_first: vec![true; count],
             level: 0.0,
-            call_pace: None,
+            calls_window,
+            call_pace: 0.0,
+            call_base: f64::MAX,
+            calls_cut: now,
+            calls_seen: 0,
+            called: now,
             quotas: BTreeMap::new(),
             leaving: None,
             advertised: f64::NAN,
@@ -199,8 +218,7 @@
         };
         let p = self.products[product].clone();
         let mut expiry = read.expiry.unwrap_or(arrived + p.expiry);
-        let stop = self.leaving.map(|(_, stop)| stop);
-        expiry = expiry.min(stop.unwrap_or(expiry));
+        expiry = expiry.min(self.leaving.map_or(expiry, |(_, stop)| stop));
         self.seen.iter_mut().for_each(|s| *s *= 0.995);
         self.seen[product] += 1.0;
         let due = (arrived + p.sla).min(expiry);
@@ -213,12 +231,7 @@
             expiry,
             kb: read.memory_kb.max(0.0),
             worth,
-            stage: Stage::Held,
-            started: now,
-            call_wait: Duration::ZERO,
-            call_since: now,
-            calls: 0,
-            answered: false,
+            ..Txn::default()
         };
         // A repeat never runs beside what it repeats: it takes the place of one still held, and is answered
         // from one that has run. An id that is not in the table is from before it, or a twin not yet read.
@@ -227,7 +240,8 @@
             first = Some(heir);
         }
         let first = first.filter(|r| self.kept.contains_key(r) || self.txns.contains_key(r));
-        let held = first.is_some_and(|f| self.txns.get(&f).is_some_and(|t| t.stage == Stage::Held));
+        let held = |t: &Txn| t.stage == Stage::Held && p.effect == Effect::Referenced;
+        let held = first.and_then(|f| self.txns.get(&f)).is_some_and(held);
         self.txns.insert(id, txn);
         self.dues.insert((expiry.saturating_sub(self.tick), Due::Expiry, id));
         if expiry <= now + self.tick {
@@ -302,15 +316,13 @@
         if how == Outcome::Completed {
             txn.stage = Stage::Running;
             txn.call_wait += now.saturating_sub(txn.call_since);
-            let pace = self.call_pace.get_or_insert(took.as_secs_f64());
-            *pace += PACE_GAIN * (took.as_secs_f64() - *pace);
+            self.call_took(now, took.as_secs_f64());
         } else {
             if how == Outcome::Overdue {
                 self.lingering += 1;
                 let linger = self.cfg.span("family_info.linger").unwrap_or_default();
                 self.dues.insert((now + linger, Due::Linger, id));
-                let pace = self.call_pace.get_or_insert(took.as_secs_f64());
-                *pace += PACE_GAIN * (took.as_secs_f64() - *pace).max(0.0);
+                self.call_took(now, took.as_secs_f64().max(self.call_pace));
             }
             // Again only where the call provably never ran, or may run twice, and the time suffices.
             let again = how.never_ran() || (p.effect == Effect::InquiryLike && how != Outcome::Overdue);
@@ -341,11 +353,8 @@
                 if ratio > FAST_DECREASE_MULTIPLIER {
                     // The fast circuit breaker.
                     self.window = (self.window * BETA).max(self.cores);
-                    self.log(
-                        now,
-                        "breaker",
-                        format!("one run took {ratio:.1} SLA times, window {:.1}", self.window),
-                    );
+                    let line = format!("one run took {ratio:.1} SLA times, window {:.1}", self.window);
+                    self.log(now, "breaker", line);
                 }
             }
         }
@@ -357,13 +366,7 @@
     /// Nobody waits for this txn any longer.
     pub fn caller_gone(&mut self, now: Duration, id: TxnId) {
         match self.txns.get(&id).map(|t| t.stage) {
-            Some(Stage::Held) => {
-                self.unhold(id);
-                if self.kept.remove(&id).is_some() {
-                    self.host.forget(id);
-                }
-            }
-            Some(Stage::Joined) => self.drop_txn(id),
+            Some(Stage::Held | Stage::Joined) => self.drop_unrun(id),
             Some(_) => self.abandon(id),
             None => {}
         }
@@ -375,12 +378,10 @@
     pub fn drain(&mut self, now: Duration, stop: Duration) {
         self.leaving = Some((now, stop));
         self.host.health(false, true);
-        let ids: Vec<TxnId> = self.txns.keys().copied().collect();
-        for id in ids {
-            let Some(txn) = self.txns.get_mut(&id).filter(|t| t.expiry > stop) else { continue };
-            self.dues.remove(&(txn.expiry.saturating_sub(self.tick), Due::Expiry, id));
+        for (id, txn) in self.txns.iter_mut().filter(|(_, t)| t.expiry > stop) {
+            self.dues.remove(&(txn.expiry.saturating_sub(self.tick), Due::Expiry, *id));
             txn.expiry = stop;
-            self.dues.insert((stop.saturating_sub(self.tick), Due::Expiry, id));
+            self.dues.insert((stop.saturating_sub(self.tick), Due::Expiry, *id));
         }
         let left = stop.saturating_sub(now);
         self.log(now, "drain", format!("leaving in {left:?} with {} txns in hand", self.txns.len()));
@@ -411,6 +412,10 @@
         }
         self.window = self.window.min(self.ceiling(now)).max(self.cores);
         self.pressure = false;
+        if self.call_pace < CALLS_SLOW * self.call_base {
+            let share = self.calls_share();
+            self.calls_window = (self.calls_window + share * CALLS_STEP).min(share * CALLS_SHARE);
+        }
         self.choose_shed();
     }
 
@@ -424,9 +429,7 @@
     /// How far this server has warmed up at least, 0 to 1.
     fn warmth(&self, now: Duration) -> f64 {
         match self.cfg.span("rules.warm_after").filter(|w| !w.is_zero()) {
-            Some(w) if self.cfg.flag("family_info.cold").unwrap_or(false) => {
-                (now.as_secs_f64() / w.as_secs_f64()).min(1.0)
-            }
+            Some(w) if self.cfg.flag("family_info.cold") == Some(true) => now.div_duration_f64(w).min(1.0),
             _ => 1.0,
         }
     }
@@ -434,9 +437,8 @@
     /// Starts held txns by due time while the window has room.
     fn fill(&mut self, now: Duration) {
         while let Some(&(_, id)) = self.hold.first() {
-            if self.count(|t| t.stage == Stage::Running) as f64 + 1.0 > self.window
-                || !self.start_txn(now, id)
-            {
+            let running = self.count(|t| t.stage == Stage::Running) as f64;
+            if running + 1.0 > self.window || !self.start_txn(now, id) {
                 self.pressure = true;
                 return;
             }
@@ -445,9 +447,7 @@
 
     /// The only place where a run begins: all guards of the four rules stand here.
     fn start_txn(&mut self, now: Duration, id: TxnId) -> bool {
-        let Some(txn) = self.txns.get(&id).filter(|t| t.stage == Stage::Held && !t.answered) else {
-            return false;
-        };
+        let Some(txn) = self.txns.get(&id).filter(|t| t.stage == Stage::Held) else { return false };
         let effect = self.products[txn.product].effect;
         if self.leaving.is_some_and(|(told, stop)| txn.arrived > told + self.grace() || now >= stop)
             || now + self.tick >= txn.expiry
@@ -462,10 +462,9 @@
         if crowd > CROWD_SHARE * self.crowd_limit(now) || memory > MEMORY_SHARE * self.memory_limit() {
             return false;
         }
-        self.unhold_only(id);
         let txn = self.txns.get_mut(&id).expect("looked up above");
-        txn.stage = Stage::Running;
-        txn.started = now;
+        self.hold.remove(&(txn.order, id));
+        (txn.stage, txn.started) = (Stage::Running, now);
         self.host.start(id);
         true
     }
@@ -614,24 +613,14 @@
 
     /// Gives up on a txn that has not run, and says when to come back.
     fn turn_away(&mut self, now: Duration, id: TxnId) {
-        self.unhold(id);
-        if self.kept.remove(&id).is_some() {
-            self.host.forget(id);
-        }
+        self.drop_unrun(id);
         let advice = self.cfg.flag("limits.retry_after").unwrap_or(false);
         let most = self.cfg.span("limits.max_retry_after").unwrap_or_default();
-        let back_in = if self.leaving.is_some() {
-            most
-        } else {
-            Duration::from_secs_f64(self.wait(now) * (0.5 + self.chance())).min(most)
-        };
-        let level = self.level;
-        if level > 0.0 {
-            self.log(
-                now,
-                "level",
-                format!("turning away under level {level:.2}, hold takes {:.2} s", self.wait(now)),
-            );
+        let wait = Duration::from_secs_f64(self.wait(now) * (0.5 + self.chance()));
+        let back_in = if self.leaving.is_some() { most } else { wait.min(most) };
+        if self.level > 0.0 {
+            let line = format!("level {:.2}: the hold takes {:.2} s", self.level, self.wait(now));
+            self.log(now, "level", line);
         }
         self.advertise(now);
         self.host.decline(id, Some(back_in).filter(|b| advice && !b.is_zero()), false);
@@ -639,14 +628,8 @@
 
     /// The error that promises nothing, for what has run or repeats what has run.
     fn void(&mut self, now: Duration, id: TxnId) {
-        match self.txns.get(&id).map(|t| t.stage) {
-            Some(Stage::Held) if !self.kept.contains_key(&id) => self.unhold(id),
-            Some(Stage::Held) => return self.turn_away(now, id),
-            Some(Stage::Joined) => self.drop_txn(id),
-            _ => {}
-        }
         self.host.void(id);
-        self.abandon(id);
+        self.caller_gone(now, id);
     }
 
     /// A run that nobody waits for: it is stopped where that is allowed and may be done again.
@@ -659,20 +642,14 @@
         }
     }
 
-    fn unhold_only(&mut self, id: TxnId) {
-        if let Some(txn) = self.txns.get(&id) {
-            self.hold.remove(&(txn.order, id));
-        }
-    }
-
-    fn unhold(&mut self, id: TxnId) {
-        self.unhold_only(id);
-        self.drop_txn(id);
-    }
-
-    fn drop_txn(&mut self, id: TxnId) {
+    /// Takes a txn that has not run out of the hold, and out of the table.
+    fn drop_unrun(&mut self, id: TxnId) {
         if let Some(txn) = self.txns.remove(&id) {
+            self.hold.remove(&(txn.order, id));
             self.dues.remove(&(txn.expiry.saturating_sub(self.tick), Due::Expiry, id));
+            if self.kept.remove(&id).is_some() {
+                self.host.forget(id);
+            }
         }
     }
 
@@ -691,36 +668,71 @@
 
     // ---- calls ----
 
-    /// Makes the calls that wait, by due time, while their own bound has room; goes on without where the time
-    /// no longer suffices.
+    /// The calls' own window: cut once a call's time when they slow down, whatever slows them.
+    fn call_took(&mut self, now: Duration, took: f64) {
+        self.calls_seen += 1;
+        self.call_pace += PACE_GAIN.max(1.0 / f64::from(self.calls_seen)) * (took - self.call_pace);
+        if self.calls_seen >= CALLS_KNOWN {
+            self.call_base = self.call_base.min(self.call_pace) * 1.001;
+        }
+        let since_cut = now.saturating_sub(self.calls_cut).as_secs_f64();
+        if self.call_pace > CALLS_SLOW * self.call_base && since_cut > self.call_pace {
+            self.calls_cut = now;
+            self.calls_window = (self.calls_window * BETA).max(self.calls_share() * CALLS_LEAST);
+            let (pace, base) = (self.call_pace, self.call_base);
+            let line =
+                format!("calls take {pace:.2} s, {base:.2} s at best: {:.2} at once", self.calls_window);
+            self.log(now, "calls", line);
+        }
+    }
+
+    fn calls_share(&self) -> f64 {
+        self.cfg.num("family_info.calls_out").filter(|c| *c > 0.0).unwrap_or(f64::MAX)
+    }
+
+    /// What leaving out a call loses, in millionths.
+    fn stake(&self, product: usize) -> i64 {
+        (self.products[product].value * (1.0 - self.products[product].without) * 1e6) as i64
+    }
+
+    /// Makes the calls that wait, those first that lose most without, while the calls' window has room. Goes on
+    /// without, where that earns a part, once the wait would take half of the time left.
     fn make_calls(&mut self, now: Duration) {
-        let mut waiting: Vec<(Duration, TxnId)> = self
-            .txns
-            .iter()
-            .filter(|(_, t)| t.stage == Stage::AtCall && !t.answered)
-            .map(|(i, t)| (t.due, *i))
-            .collect();
+        let mut waiting: Vec<(i64, Duration, TxnId)> = Vec::new();
+        for (id, t) in self.txns.iter().filter(|(_, t)| t.stage == Stage::AtCall && !t.answered) {
+            waiting.push((-self.stake(t.product), t.due, *id));
+        }
         waiting.sort();
-        let redials: BTreeSet<TxnId> =
-            self.dues.iter().filter(|(_, d, _)| *d == Due::Redial).map(|(_, _, i)| *i).collect();
-        let bound = self.cfg.num("family_info.calls_out").map_or(f64::MAX, |c| (c * CALLS_SHARE).max(1.0));
-        for (_, id) in waiting {
-            let out = self.count(|t| t.stage == Stage::Calling) + self.lingering;
+        let redials = self.dues.iter().filter(|(_, what, _)| *what == Due::Redial);
+        let redials: BTreeSet<TxnId> = redials.map(|(_, _, id)| *id).collect();
+        let mut ahead = 0.0;
+        let calls = |i: &usize| self.cfg.flag(&format!("family_info.class_calls.{i}")) != Some(false);
+        let most = (0..self.products.len()).filter(calls).map(|i| self.stake(i)).max().unwrap_or(0);
+        let slow = self.call_pace > CALLS_SLOW * self.call_base;
+        for (stake, _, id) in waiting {
+            let out = (self.count(|t| t.stage == Stage::Calling) + self.lingering) as f64;
             let txn = &self.txns[&id];
             let p = &self.products[txn.product];
             let rest = Duration::from_secs_f64(self.run_time(now, txn.product) * 0.5);
-            let usual = Duration::from_secs_f64(self.call_pace.unwrap_or(0.0));
             let to_due = txn.due.saturating_sub(now + rest);
             let to_expiry = txn.expiry.saturating_sub(now + rest + self.tick);
-            if p.without > 0.0 && to_due < usual && (to_due > Duration::ZERO || p.late <= 0.0) {
+            let gap = self.call_pace / self.calls_window;
+            let paced = out == 0.0 && now.saturating_sub(self.called).as_secs_f64() >= gap;
+            let room = (out + 1.0 <= self.calls_window || paced) && !redials.contains(&id);
+            let wait = if room { self.call_pace } else { (ahead + 1.0) * gap + self.call_pace };
+            let futile = wait > to_due.as_secs_f64() * 0.5 && (!to_due.is_zero() || p.late <= 0.0 || !room);
+            if p.without > 0.0 && (futile || (slow && -stake < most)) {
                 self.skip_call(now, id);
-            } else if out as f64 + 1.0 <= bound && !redials.contains(&id) {
+            } else if room {
                 let least = Duration::from_millis(10);
                 let give_up = if p.without > 0.0 && to_due > least { to_due } else { to_expiry };
+                self.called = now;
                 let txn = self.txns.get_mut(&id).expect("listed above");
                 txn.stage = Stage::Calling;
                 txn.calls += 1;
                 self.host.call(id, give_up.max(least));
+            } else {
+                ahead += 1.0;
             }
         }
     }
