Calls are slow only where it hurts the SLA times; their window keeps 0.35 of the share; ceiling 1.3

Now a slow call must also take 0.15 of the shortest SLA time. Cores lose more to the crowd than the window gains: 1.3.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,7 +22,7 @@
 const FAST_DECREASE_MULTIPLIER: f64 = 3.0;
 const EVALUATION: f64 = 0.5; // interval, of the shortest SLA time
 const SLIDING: f64 = 4.0; // latency window, of the longest SLA time
-const WARM_PER_CORE: f64 = 2.0; // ceiling, txns a core
+const WARM_PER_CORE: f64 = 1.3; // ceiling, txns a core
 const COLD_PER_CORE: f64 = 1.0;
 
 // The level of value, by the time the hold takes to drain over the slack that txns have.
@@ -38,7 +38,8 @@
 const CALLS_SHARE: f64 = 0.8;
 // Calls have a window of their own, cut when they take this many times what they took when all was well.
 const CALLS_SLOW: f64 = 2.5;
-const CALLS_LEAST: f64 = 0.25; // of this server's share
+const CALLS_HURT: f64 = 0.15; // of the shortest SLA time
+const CALLS_LEAST: f64 = 0.35; // of this server's share
 const CALLS_STEP: f64 = 0.1;
 const CALLS_KNOWN: u32 = 20; // calls until their usual time is known
 const CALLS_AT_FIRST: f64 = 0.4;
@@ -156,15 +157,12 @@
                 without: cfg.num(&format!("family_info.worth_without.{i}")).unwrap_or(0.0),
             });
         }
-        let cores = cfg.num("family_info.cores").filter(|c| *c >= 1.0).unwrap_or_else(|| {
-            host.log("setting family_info.cores missing or senseless: taken as 1");
-            1.0
-        });
-        for name in ["family_info.memory_kb", "rules.fall_multiple", "rules.answer_slack"] {
-            if cfg.num(name).is_none() {
-                host.log(&format!("setting {name} missing or senseless: a cautious default holds"));
-            }
+        let needed =
+            ["family_info.cores", "family_info.memory_kb", "rules.fall_multiple", "rules.answer_slack"];
+        for name in needed.iter().filter(|name| !cfg.num(name).is_some_and(|n| n > 0.0)) {
+            host.log(&format!("setting {name} missing or senseless: a cautious default holds"));
         }
+        let cores = cfg.num("family_info.cores").unwrap_or(1.0).max(1.0);
         let slack = cfg.span("rules.answer_slack").unwrap_or(Duration::from_millis(20));
         let tick = (slack / 2).max(cfg.span("tick").unwrap_or_default()).max(Duration::from_millis(5));
         host.health(true, true);
@@ -245,7 +243,7 @@
         self.txns.insert(id, txn);
         self.dues.insert((expiry.saturating_sub(self.tick), Due::Expiry, id));
         if expiry <= now + self.tick {
-            return if first.is_some() { self.void(now, id) } else { self.turn_away(now, id) };
+            return if first.is_some() { self.void(id) } else { self.turn_away(now, id) };
         }
         match first {
             Some(_) if !held => {
@@ -262,9 +260,8 @@
             None => self.weigh(now),
         }
         self.hold.insert((due, id));
-        let late_leaver = self.leaving.is_some_and(|(told, _)| arrived > told + self.grace());
-        let full = self.memory() > MEMORY_SHARE * self.memory_limit();
-        if late_leaver || full || (first.is_none() && worth < self.level) {
+        let under = first.is_none() && worth < self.level;
+        if under || self.too_late(arrived) || self.memory(0.0) > MEMORY_SHARE {
             return self.turn_away(now, id);
         }
         if p.effect == Effect::Referenced || self.cfg.num("family_info.fresh_for").unwrap_or(0.0) > 0.0 {
@@ -286,8 +283,7 @@
         if gauge("runnable").is_some_and(|r| r < self.cores) && !self.hold.is_empty() {
             self.window = (self.window + self.hold.len() as f64).min(self.ceiling(now));
         }
-        let shortest = self.products.iter().map(|p| p.sla).min().unwrap_or(self.tick * 20);
-        if now.saturating_sub(self.evaluated) >= shortest.mul_f64(EVALUATION) {
+        if now.saturating_sub(self.evaluated).as_secs_f64() >= self.shortest() * EVALUATION {
             self.evaluate(now);
         }
         self.weigh(now);
@@ -331,7 +327,7 @@
             } else if again && self.txns[&id].calls < 5 {
                 self.dues.insert((now + p.sla.mul_f64(0.05), Due::Redial, id));
             } else {
-                self.void(now, id);
+                self.void(id);
             }
         }
         self.make_calls(now);
@@ -365,11 +361,7 @@
 
     /// Nobody waits for this txn any longer.
     pub fn caller_gone(&mut self, now: Duration, id: TxnId) {
-        match self.txns.get(&id).map(|t| t.stage) {
-            Some(Stage::Held | Stage::Joined) => self.drop_unrun(id),
-            Some(_) => self.abandon(id),
-            None => {}
-        }
+        self.unwanted(id);
         self.run_dues(now);
         self.fill(now);
     }
@@ -412,7 +404,7 @@
         }
         self.window = self.window.min(self.ceiling(now)).max(self.cores);
         self.pressure = false;
-        if self.call_pace < CALLS_SLOW * self.call_base {
+        if !self.calls_slow() {
             let share = self.calls_share();
             self.calls_window = (self.calls_window + share * CALLS_STEP).min(share * CALLS_SHARE);
         }
@@ -448,18 +440,16 @@
     /// The only place where a run begins: all guards of the four rules stand here.
     fn start_txn(&mut self, now: Duration, id: TxnId) -> bool {
         let Some(txn) = self.txns.get(&id).filter(|t| t.stage == Stage::Held) else { return false };
-        let effect = self.products[txn.product].effect;
-        if self.leaving.is_some_and(|(told, stop)| txn.arrived > told + self.grace() || now >= stop)
-            || now + self.tick >= txn.expiry
-            || (effect == Effect::Referenced && !self.kept.get(&id).is_some_and(|k| k.live))
-        {
+        let unkept = self.products[txn.product].effect == Effect::Referenced
+            && !self.kept.get(&id).is_some_and(|k| k.live);
+        if unkept || self.too_late(txn.arrived) || now + self.tick >= txn.expiry {
             self.turn_away(now, id);
             return true;
         }
         // Calls return to the cores on their own, so they count for the crowd.
         let crowd = self.count(|t| !matches!(t.stage, Stage::Held | Stage::Joined)) as f64 + 1.0;
-        let memory = self.memory() + txn.kb * (self.run_factor() - 1.0);
-        if crowd > CROWD_SHARE * self.crowd_limit(now) || memory > MEMORY_SHARE * self.memory_limit() {
+        let memory = self.memory(txn.kb * (self.run_factor() - 1.0));
+        if crowd > CROWD_SHARE * self.crowd_limit(now) || memory > MEMORY_SHARE {
             return false;
         }
         let txn = self.txns.get_mut(&id).expect("looked up above");
@@ -469,6 +459,7 @@
         true
     }
 
+    /// The crowd on the cores that this server survives at present.
     fn crowd_limit(&self, now: Duration) -> f64 {
         let multiple = self.cfg.num("rules.fall_multiple").unwrap_or(2.0).max(1.0);
         (self.cores * (1.0 + (multiple - 1.0) * self.speed(now))).max((self.cores + 1.0) / CROWD_SHARE)
@@ -489,20 +480,20 @@
         self.cfg.num("family_info.run_factor").unwrap_or(8.0).max(1.0)
     }
 
-    fn memory_limit(&self) -> f64 {
-        self.cfg.num("family_info.memory_kb").unwrap_or(f64::MAX)
-    }
-
-    fn memory(&self) -> f64 {
+    /// Memory in use, as a share of what there is.
+    fn memory(&self, more: f64) -> f64 {
         let factor = self.run_factor();
         let of = |t: &Txn| t.kb * if matches!(t.stage, Stage::Held | Stage::Joined) { 1.0 } else { factor };
         let keys = self.kept.values().filter(|k| k.live).count() as f64;
         let key_kb = self.cfg.num("family_info.key_kb").unwrap_or(0.0);
-        self.txns.values().map(of).sum::<f64>() + keys * key_kb
+        let limit = self.cfg.num("family_info.memory_kb").unwrap_or(f64::MAX);
+        (self.txns.values().map(of).sum::<f64>() + keys * key_kb + more) / limit
     }
 
-    fn grace(&self) -> Duration {
-        self.cfg.span("rules.stop_sending_within").unwrap_or_default()
+    /// Whether it arrived too late to be run by a server that is leaving.
+    fn too_late(&self, arrived: Duration) -> bool {
+        let grace = self.cfg.span("rules.stop_sending_within").unwrap_or_default();
+        self.leaving.is_some_and(|(told, _)| arrived > told + grace)
     }
 
     fn count(&self, which: impl Fn(&Txn) -> bool) -> usize {
@@ -614,7 +605,7 @@
     /// Gives up on a txn that has not run, and says when to come back.
     fn turn_away(&mut self, now: Duration, id: TxnId) {
         self.drop_unrun(id);
-        let advice = self.cfg.flag("limits.retry_after").unwrap_or(false);
+        let advice = self.cfg.flag("limits.retry_after") == Some(true);
         let most = self.cfg.span("limits.max_retry_after").unwrap_or_default();
         let wait = Duration::from_secs_f64(self.wait(now) * (0.5 + self.chance()));
         let back_in = if self.leaving.is_some() { most } else { wait.min(most) };
@@ -627,14 +618,17 @@
     }
 
     /// The error that promises nothing, for what has run or repeats what has run.
-    fn void(&mut self, now: Duration, id: TxnId) {
+    fn void(&mut self, id: TxnId) {
         self.host.void(id);
-        self.caller_gone(now, id);
+        self.unwanted(id);
     }
 
-    /// A run that nobody waits for: it is stopped where that is allowed and may be done again.
-    fn abandon(&mut self, id: TxnId) {
+    /// Nobody waits any more: a run is stopped where that is allowed and it may be done again.
+    fn unwanted(&mut self, id: TxnId) {
         let Some(txn) = self.txns.get_mut(&id) else { return };
+        if matches!(txn.stage, Stage::Held | Stage::Joined) {
+            return self.drop_unrun(id);
+        }
         txn.answered = true;
         let halt = self.cfg.text("family_info.halt").unwrap_or("none") != "none";
         if halt && txn.stage == Stage::Running && self.products[txn.product].effect == Effect::InquiryLike {
@@ -676,7 +670,7 @@
             self.call_base = self.call_base.min(self.call_pace) * 1.001;
         }
         let since_cut = now.saturating_sub(self.calls_cut).as_secs_f64();
-        if self.call_pace > CALLS_SLOW * self.call_base && since_cut > self.call_pace {
+        if self.calls_slow() && since_cut > self.call_pace {
             self.calls_cut = now;
             self.calls_window = (self.calls_window * BETA).max(self.calls_share() * CALLS_LEAST);
             let (pace, base) = (self.call_pace, self.call_base);
@@ -686,6 +680,16 @@
         }
     }
 
+    /// Whether calls take much longer than at best, and long enough to matter for the SLA times.
+    fn calls_slow(&self) -> bool {
+        self.call_pace > (CALLS_SLOW * self.call_base).max(CALLS_HURT * self.shortest())
+    }
+
+    /// The shortest SLA time.
+    fn shortest(&self) -> f64 {
+        self.products.iter().map(|p| p.sla.as_secs_f64()).fold(f64::MAX, f64::min)
+    }
+
     fn calls_share(&self) -> f64 {
         self.cfg.num("family_info.calls_out").filter(|c| *c > 0.0).unwrap_or(f64::MAX)
     }
@@ -708,7 +712,7 @@
         let mut ahead = 0.0;
         let calls = |i: &usize| self.cfg.flag(&format!("family_info.class_calls.{i}")) != Some(false);
         let most = (0..self.products.len()).filter(calls).map(|i| self.stake(i)).max().unwrap_or(0);
-        let slow = self.call_pace > CALLS_SLOW * self.call_base;
+        let slow = self.calls_slow();
         for (stake, _, id) in waiting {
             let out = (self.count(|t| t.stage == Stage::Calling) + self.lingering) as f64;
             let txn = &self.txns[&id];
@@ -754,7 +758,7 @@
             match what {
                 Due::Expiry => match self.txns.get(&id).map(|t| (t.stage, t.answered)) {
                     Some((Stage::Held, _)) => self.turn_away(now, id),
-                    Some((_, false)) => self.void(now, id),
+                    Some((_, false)) => self.void(id),
                     _ => {}
                 },
                 Due::Redial => {}
