--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,7 +28,7 @@
 // The level of value, by the time the hold takes to drain over the slack that txns have.
 const LEVEL_FROM: f64 = 0.3;
 const LEVEL_TO: f64 = 0.8;
-const HOPELESS: f64 = 0.6; // of a usual run: less time than that before the SLA time is not worth a start
+const HOPELESS: f64 = 1.0; // of a usual run: less time than that before the SLA time is not worth a start
 const PACE_GAIN: f64 = 0.1;
 const PACE_AT_FIRST: f64 = 0.25; // of the SLA time, until a run has ended
 
@@ -394,8 +394,7 @@
         self.latencies.retain(|(at, _)| *at >= since);
         let mut ratios: Vec<f64> = self.latencies.iter().map(|(_, r)| *r).collect();
         ratios.sort_by(f64::total_cmp);
-        let at = (ratios.len() as f64 * 0.99).ceil() as usize;
-        let p99 = ratios.get(at.max(1) - 1).copied().unwrap_or(0.0);
+        let p99 = ratios.get(ratios.len() * 99 / 100).copied().unwrap_or(0.0);
         if p99 > 1.0 {
             self.window *= BETA;
             self.log(now, "cut", format!("p99 at {p99:.2} SLA times, window {:.1}", self.window));
@@ -673,9 +672,7 @@
         if self.calls_slow() && since_cut > self.call_pace {
             self.calls_cut = now;
             self.calls_window = (self.calls_window * BETA).max(self.calls_share() * CALLS_LEAST);
-            let (pace, base) = (self.call_pace, self.call_base);
-            let line =
-                format!("calls take {pace:.2} s, {base:.2} s at best: {:.2} at once", self.calls_window);
+            let line = format!("calls take {:.2} s: {:.2} at once", self.call_pace, self.calls_window);
             self.log(now, "calls", line);
         }
     }
