Run times are capped and forgotten; where txns lie unread, warm servers say: try nobody else

Causes, by server and second: a stall of 12 s, once learnt as the usual run time, made every txn hopeless for good; and a storm of tries kept all cores at reading. Told apart by the time unread, 0.1 s in the first kind and over 1 s in the second. Changes: a run teaches at most one SLA time and is forgotten by a fifth an evaluation while nothing is learnt; declines of a warm server ask not to try elsewhere while txns lie unread over 0.15 of the shortest SLA time. Harm: where only this server is slow, a compliant caller loses a try that another could have run.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,8 @@
 const LEVEL_TO: f64 = 0.8;
 const HOPELESS: f64 = 1.0; // of a usual run: less time than that before the SLA time is not worth a start
 const PACE_GAIN: f64 = 0.1;
+const UNREAD_LONG: f64 = 0.15; // of the shortest SLA time
+const PACE_FORGOTTEN: f64 = 0.2; // an evaluation
 const PACE_AT_FIRST: f64 = 0.25; // of the SLA time, until a run has ended
 
 // Guards, as shares of the limits that the settings give.
@@ -44,6 +46,7 @@
 const CALLS_KNOWN: u32 = 20; // calls until their usual time is known
 const CALLS_AT_FIRST: f64 = 0.4;
 const CREDIT: f64 = 0.45; // txns out with us in all: what the window gets done in this share of an SLA time
+const REDIAL: f64 = 0.05; // SLA times
 const QUIET_LOG: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -74,12 +77,13 @@
     call_wait: Duration,
     call_since: Duration,
     calls: u32,
+    /// No sooner than this is its call made again.
+    redial: Duration,
     /// It has had its final answer but still runs.
     answered: bool,
 }
 
 /// An entry in the table of referenced txns.
-#[derive(Clone, Debug)]
 struct Kept {
     until: Duration,
     live: bool,
@@ -90,7 +94,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Expiry,
-    Redial,
     Linger,
     Key,
 }
@@ -98,8 +101,8 @@
 pub struct Brain<H: Host> {
     host: H,
     cfg: Settings,
-    seed: u64,
-    draws: u64,
+    /// The seed, and how often chance was asked.
+    chance: (u64, u64),
     products: Vec<Product>,
     cores: f64,
     tick: Duration,
@@ -115,6 +118,7 @@
     /// Seconds on the cores that a run of each product takes once warm, and its share of what is read.
     pace: Vec<f64>,
     seen: Vec<f64>,
+    paced: Vec<bool>,
     /// Seconds that txns lie unread, of late.
     unread: f64,
     /// Which products the level weighs first.
@@ -167,16 +171,13 @@
         let tick = (slack / 2).max(cfg.span("tick").unwrap_or_default()).max(Duration::from_millis(5));
         host.health(true, true);
         host.wake(tick);
-        let count = products.len();
         let calls_window =
             cfg.num("family_info.calls_out").filter(|c| *c > 0.0).unwrap_or(f64::MAX) * CALLS_AT_FIRST;
         let pace = products.iter().map(|p| p.sla.as_secs_f64() * PACE_AT_FIRST).collect();
         Brain {
             host,
             cfg,
-            seed,
-            draws: 0,
-            products,
+            chance: (seed, 0),
             cores,
             tick,
             txns: BTreeMap::new(),
@@ -189,9 +190,10 @@
             pressure: false,
             evaluated: now,
             pace,
-            seen: vec![1.0; count],
+            seen: vec![1.0; products.len()],
+            paced: vec![false; products.len()],
             unread: 0.0,
-            shed_first: vec![true; count],
+            shed_first: vec![true; products.len()],
             level: 0.0,
             calls_window,
             call_pace: 0.0,
@@ -203,6 +205,7 @@
             leaving: None,
             advertised: f64::NAN,
             logged: BTreeMap::new(),
+            products,
         }
     }
 
@@ -275,12 +278,10 @@
     pub fn woken(&mut self, now: Duration, gauges: &[f64]) {
         self.host.wake(self.tick);
         self.run_dues(now);
-        let gauge = |name: &str| {
-            let mut names = (0..gauges.len()).map(|i| self.cfg.text(&format!("family_info.meters.{i}")));
-            names.position(|n| n == Some(name)).map(|i| gauges[i])
-        };
         // Idle-core growth: cores idle while work waits, so the window grows by the number held.
-        if gauge("runnable").is_some_and(|r| r < self.cores) && !self.hold.is_empty() {
+        let named = |i: &usize| self.cfg.text(&format!("family_info.meters.{i}")) == Some("runnable");
+        let runnable = (0..gauges.len()).find(named).map(|i| gauges[i]);
+        if runnable.is_some_and(|r| r < self.cores) && !self.hold.is_empty() {
             self.window = (self.window + self.hold.len() as f64).min(self.ceiling(now));
         }
         if now.saturating_sub(self.evaluated).as_secs_f64() >= self.shortest() * EVALUATION {
@@ -325,7 +326,7 @@
             if p.without > 0.0 && (!again || self.txns[&id].calls > 1) {
                 self.skip_call(now, id);
             } else if again && self.txns[&id].calls < 5 {
-                self.dues.insert((now + p.sla.mul_f64(0.05), Due::Redial, id));
+                self.txns.get_mut(&id).expect("looked up above").redial = now + p.sla.mul_f64(REDIAL);
             } else {
                 self.void(id);
             }
@@ -343,11 +344,13 @@
             if how == Outcome::Completed && txn.stage != Stage::Joined {
                 let ran = took.saturating_sub(txn.call_wait).as_secs_f64();
                 let ratio = ran / self.products[txn.product].sla.as_secs_f64();
-                let warm = ran * self.speed(txn.started);
+                let sla = self.products[txn.product].sla.as_secs_f64();
+                let warm = (ran * self.speed(txn.started)).min(sla);
                 self.pace[txn.product] += PACE_GAIN * (warm - self.pace[txn.product]);
+                self.paced[txn.product] = true;
                 self.latencies.push_back((now, ratio));
+                // The fast circuit breaker.
                 if ratio > FAST_DECREASE_MULTIPLIER {
-                    // The fast circuit breaker.
                     self.window = (self.window * BETA).max(self.cores);
                     let line = format!("one run took {ratio:.1} SLA times, window {:.1}", self.window);
                     self.log(now, "breaker", line);
@@ -361,8 +364,8 @@
 
     /// Nobody waits for this txn any longer.
     pub fn caller_gone(&mut self, now: Duration, id: TxnId) {
-        self.unwanted(id);
         self.run_dues(now);
+        self.unwanted(id);
         self.fill(now);
     }
 
@@ -403,6 +406,14 @@
         }
         self.window = self.window.min(self.ceiling(now)).max(self.cores);
         self.pressure = false;
+        // A product that nothing has been learnt of lately is taken for quicker again, or a stall, once learnt,
+        // would have it turned away for ever.
+        for i in 0..self.products.len() {
+            let first = self.products[i].sla.as_secs_f64() * PACE_AT_FIRST;
+            if !std::mem::take(&mut self.paced[i]) && self.pace[i] > first {
+                self.pace[i] += PACE_FORGOTTEN * (first - self.pace[i]);
+            }
+        }
         if !self.calls_slow() {
             let share = self.calls_share();
             self.calls_window = (self.calls_window + share * CALLS_STEP).min(share * CALLS_SHARE);
@@ -419,10 +430,9 @@
 
     /// How far this server has warmed up at least, 0 to 1.
     fn warmth(&self, now: Duration) -> f64 {
-        match self.cfg.span("rules.warm_after").filter(|w| !w.is_zero()) {
-            Some(w) if self.cfg.flag("family_info.cold") == Some(true) => now.div_duration_f64(w).min(1.0),
-            _ => 1.0,
-        }
+        let cold = self.cfg.flag("family_info.cold") == Some(true);
+        let after = self.cfg.span("rules.warm_after").filter(|after| cold && !after.is_zero());
+        after.map_or(1.0, |after| now.div_duration_f64(after).min(1.0))
     }
 
     /// Starts held txns by due time while the window has room.
@@ -448,22 +458,17 @@
         // Calls return to the cores on their own, so they count for the crowd.
         let crowd = self.count(|t| !matches!(t.stage, Stage::Held | Stage::Joined)) as f64 + 1.0;
         let memory = self.memory(txn.kb * (self.run_factor() - 1.0));
-        if crowd > CROWD_SHARE * self.crowd_limit(now) || memory > MEMORY_SHARE {
+        let multiple = self.cfg.num("rules.fall_multiple").unwrap_or(2.0).max(1.0);
+        let survives = self.cores * (1.0 + (multiple - 1.0) * self.speed(now));
+        if crowd > (CROWD_SHARE * survives).max(self.cores) || memory > MEMORY_SHARE {
             return false;
         }
-        let txn = self.txns.get_mut(&id).expect("looked up above");
         self.hold.remove(&(txn.order, id));
-        (txn.stage, txn.started) = (Stage::Running, now);
+        self.txns.entry(id).and_modify(|t| (t.stage, t.started) = (Stage::Running, now));
         self.host.start(id);
         true
     }
 
-    /// The crowd on the cores that this server survives at present.
-    fn crowd_limit(&self, now: Duration) -> f64 {
-        let multiple = self.cfg.num("rules.fall_multiple").unwrap_or(2.0).max(1.0);
-        (self.cores * (1.0 + (multiple - 1.0) * self.speed(now))).max((self.cores + 1.0) / CROWD_SHARE)
-    }
-
     /// The share of its speed that this server has at least.
     fn speed(&self, now: Duration) -> f64 {
         let from = self.cfg.num("rules.cold_from").unwrap_or(0.0).clamp(0.05, 1.0);
@@ -508,10 +513,10 @@
         let worth = place + if self.shed_first[product] { 0.0 } else { 1.0 };
         let Some(tenant) = &read.tenant else { return worth };
         // What a tenant sends beyond its share is worth little: this server's part of its quota is a bucket.
-        let names = (0..).map_while(|i| self.cfg.text(&format!("tenants.{i}.name")).map(|n| (i, n)));
-        let Some((i, _)) = names.into_iter().find(|(_, n)| n == tenant) else { return worth };
-        let rate = self.cfg.num(&format!("tenants.{i}.quota_per_s")).unwrap_or(f64::MAX)
-            / self.cfg.num("peers_total").unwrap_or(1.0).max(1.0);
+        let mut names = (0..).map_while(|i| self.cfg.text(&format!("tenants.{i}.name")));
+        let Some(i) = names.position(|n| n == tenant) else { return worth };
+        let quota = self.cfg.num(&format!("tenants.{i}.quota_per_s")).unwrap_or(f64::MAX);
+        let rate = quota / self.cfg.num("peers_total").unwrap_or(1.0).max(1.0);
         let (left, at) = self.quotas.entry(tenant.clone()).or_insert((rate, now));
         *left = (*left + rate * now.saturating_sub(*at).as_secs_f64()).min(rate.max(1.0));
         *at = now;
@@ -532,17 +537,16 @@
         let work: f64 = order.iter().map(|i| self.seen[*i] * self.pace[*i]).sum();
         let mix = |name: &str| self.cfg.num(&format!("objective_mix.{name}")).unwrap_or(0.0);
         let (whole, worst) = (mix("whole") + mix("worst_window"), mix("worst_class"));
-        let (mut lost, mut freed, mut best) = (0.0, 0.0, (f64::MAX, 0));
+        let (mut lost, mut freed, mut best) = (0.0, 0.0, f64::MAX);
         for (n, i) in order.iter().enumerate() {
             lost += self.seen[*i] * self.products[*i].value;
             freed += self.seen[*i] * self.pace[*i];
             let price = (whole * lost / value + worst) / (freed / work).max(1e-9);
-            if price < best.0 {
-                best = (price, n);
+            if price < best {
+                best = price;
+                order.iter().enumerate().for_each(|(m, i)| self.shed_first[*i] = m <= n);
             }
         }
-        self.shed_first = vec![false; order.len()];
-        order.iter().take(best.1 + 1).for_each(|i| self.shed_first[*i] = true);
     }
 
     /// Seconds until what is held now has been started.
@@ -613,7 +617,10 @@
             self.log(now, "level", line);
         }
         self.advertise(now);
-        self.host.decline(id, Some(back_in).filter(|b| advice && !b.is_zero()), false);
+        // Reading alone fills the cores: one more try elsewhere would only add to it.
+        let last =
+            self.unread > UNREAD_LONG * self.shortest() && self.leaving.is_none() && self.warmth(now) >= 1.0;
+        self.host.decline(id, Some(back_in).filter(|b| advice && !b.is_zero()), last);
     }
 
     /// The error that promises nothing, for what has run or repeats what has run.
@@ -640,9 +647,7 @@
         if let Some(txn) = self.txns.remove(&id) {
             self.hold.remove(&(txn.order, id));
             self.dues.remove(&(txn.expiry.saturating_sub(self.tick), Due::Expiry, id));
-            if self.kept.remove(&id).is_some() {
-                self.host.forget(id);
-            }
+            self.kept.remove(&id).inspect(|_| self.host.forget(id));
         }
     }
 
@@ -661,7 +666,7 @@
 
     // ---- calls ----
 
-    /// The calls' own window: cut once a call's time when they slow down, whatever slows them.
+    /// The calls' own window, cut once a call's time when they slow down.
     fn call_took(&mut self, now: Duration, took: f64) {
         self.calls_seen += 1;
         self.call_pace += PACE_GAIN.max(1.0 / f64::from(self.calls_seen)) * (took - self.call_pace);
@@ -704,8 +709,6 @@
             waiting.push((-self.stake(t.product), t.due, *id));
         }
         waiting.sort();
-        let redials = self.dues.iter().filter(|(_, what, _)| *what == Due::Redial);
-        let redials: BTreeSet<TxnId> = redials.map(|(_, _, id)| *id).collect();
         let mut ahead = 0.0;
         let calls = |i: &usize| self.cfg.flag(&format!("family_info.class_calls.{i}")) != Some(false);
         let most = (0..self.products.len()).filter(calls).map(|i| self.stake(i)).max().unwrap_or(0);
@@ -719,7 +722,7 @@
             let to_expiry = txn.expiry.saturating_sub(now + rest + self.tick);
             let gap = self.call_pace / self.calls_window;
             let paced = out == 0.0 && now.saturating_sub(self.called).as_secs_f64() >= gap;
-            let room = (out + 1.0 <= self.calls_window || paced) && !redials.contains(&id);
+            let room = (out + 1.0 <= self.calls_window || paced) && now >= txn.redial;
             let wait = if room { self.call_pace } else { (ahead + 1.0) * gap + self.call_pace };
             let futile = wait > to_due.as_secs_f64() * 0.5 && (!to_due.is_zero() || p.late <= 0.0 || !room);
             if p.without > 0.0 && (futile || (slow && -stake < most)) {
@@ -758,7 +761,6 @@
                     Some((_, false)) => self.void(id),
                     _ => {}
                 },
-                Due::Redial => {}
                 Due::Linger => self.lingering = self.lingering.saturating_sub(1),
                 Due::Key => {
                     // The id outlives its entry by a window: a repeat may be read long after it came.
@@ -779,18 +781,15 @@
     /// The free value, in the form that the settings ask for.
     fn advertise(&mut self, now: Duration) {
         let shed = self.level.min(1.0);
+        let callers = self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0);
+        let stay = |i: usize| (self.run_time(now, i) + self.unread).max(1e-3);
+        let gets_done = self.usual(|i| self.products[i].sla.as_secs_f64() / stay(i));
         let value = match self.cfg.text("family_info.advert") {
             Some("threshold") => shed / self.products.len().max(1) as f64,
             Some("share_of") => (0.3 + 0.7 * self.warmth(now)) * (1.0 - shed / 2.0),
-            Some("window") => {
-                let callers = self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0);
-                let stay = |i: usize| self.run_time(now, i) + self.unread;
-                let gets_done = self.usual(|i| self.products[i].sla.as_secs_f64() / stay(i).max(1e-3));
-                self.window * CREDIT * gets_done / callers
-            }
+            Some("window") => self.window * CREDIT * gets_done / callers,
             _ => return,
         };
-        // Told anew only when it has moved by a twentieth.
         let value = if value < 10.0 { (value * 20.0).round() / 20.0 } else { value.round() };
         if value != self.advertised {
             self.advertised = value;
@@ -801,8 +800,8 @@
     /// From 0 to 1, by the seed and a counter.
     fn chance(&mut self) -> f64 {
         let mut hasher = DefaultHasher::new();
-        (self.seed, self.draws).hash(&mut hasher);
-        self.draws += 1;
+        self.chance.hash(&mut hasher);
+        self.chance.1 += 1;
         (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
     }
 
