A plain model of the four rules beside the module, tests of the mechanism and of the wire

The model found one fault: a call's end read at the very moment its txn expired answered it twice. Fixed: what has been answered takes no further part in calls.

--- /dev/null
+++ b/crates/aldercrank-drill/tests/wire.rs
@@ -0,0 +1,80 @@
+//! End to end through the text of the wire, bad input included.
+
+use aldercrank_drill::Drill;
+use serde_json::{json, Value};
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+fn power_on() -> Value {
+    let profiles = json!([{"name": "look", "effect": "retryable", "goal_time": 1000000, "give_up": 3000000,
+        "points": 1.0, "late_worth": 0.0, "window": 5000000}]);
+    let info = json!({"cores": 2, "memory_kb": 9000.0, "run_factor": 4.0, "advert": "none", "halt": "none",
+        "meters": ["cpu_busy", "runnable"], "never_heard_of": [1, {"x": null}]});
+    let rules = json!({"answer_slack": 60000, "fall_multiple": 5.0, "stop_sending_within": 1000000});
+    json!({"t": "PowerOn", "salt": 5, "env": {"family_info": info, "rules": rules, "profiles": profiles}})
+}
+
+fn send(drill: &mut Drill, ts: u64, items: Value) -> Vec<Value> {
+    let line = json!({"ts": ts, "groups": [{"i": 3, "items": items}]}).to_string();
+    let reply: Value = serde_json::from_str(&drill.batch(&line).unwrap()).unwrap();
+    reply["groups"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .flat_map(|g| g["actions"].as_array().unwrap().clone())
+        .collect()
+}
+
+#[test]
+fn a_txn_is_started_and_one_past_its_expiry_declined_wherever_the_clock_starts() {
+    let mut drill = Drill::default();
+    let base = 8_000_000_000_000u64;
+    let up = send(&mut drill, base, json!([power_on()]));
+    assert!(up.iter().any(|a| a["t"] == "Remind"));
+    let read = |id: u64, end: u64| {
+        json!({"t": "NewRequest", "request_id": id, "cls": "look", "drop_dead": end, "footprint": 9.0,
+            "precedence": 0.5, "unheard": 1})
+    };
+    let acts = send(&mut drill, base + 5, json!([read(4294967295, base + 2_000_000), read(2, base + 1)]));
+    assert_eq!(acts[0], json!({"t": "Process", "request_id": 4294967295u64}));
+    assert_eq!((&acts[1]["t"], &acts[1]["request_id"]), (&json!("SayNo"), &json!(2)));
+}
+
+#[test]
+fn what_is_unknown_is_passed_over() {
+    let mut drill = Drill::default();
+    assert!(send(&mut drill, 1, json!([{"t": "Alarm", "tag": "x", "pressure": []}])).is_empty());
+    send(&mut drill, 1, json!([power_on()]));
+    let odd = json!([{"t": "Sunrise"}, {"t": "WoundUp", "request_id": 77, "result": "completed", "duration": 1},
+        {"t": "ClientGone", "request_id": 99}, {"t": "CallEnded", "request_id": -1}]);
+    assert!(send(&mut drill, 2, odd).is_empty());
+    send(&mut drill, 3, json!([{"t": "Kill"}]));
+    assert!(send(&mut drill, 4, json!([{"t": "Alarm", "tag": "tick", "pressure": [0.1, 1]}])).is_empty());
+    assert_eq!(drill.batch(r#"{"ts":5,"groups":[]}"#).unwrap(), r#"{"groups":[]}"#);
+}
+
+fn run(input: &str) -> (bool, String, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_aldercrank-drill"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all(input.as_bytes()).unwrap();
+    let out = child.wait_with_output().unwrap();
+    let text = |b: Vec<u8>| String::from_utf8(b).unwrap();
+    (out.status.success(), text(out.stdout), text(out.stderr))
+}
+
+#[test]
+fn the_end_of_input_is_a_clean_end_and_a_bad_line_is_named_with_its_byte() {
+    let good = "{\"ts\":5,\"groups\":[]}\n";
+    assert_eq!(run(good), (true, "{\"groups\":[]}\n".into(), String::new()));
+    for (bad, at) in
+        [("{\"ts\":5,!", "byte 8"), ("{\"groups\":[]}", "ts"), ("{\"ts\":1,\"groups\":[{\"i\":1}]}", "items")]
+    {
+        let (fine, out, err) = run(&format!("{good}{bad}\n"));
+        assert!(!fine && out == "{\"groups\":[]}\n", "{bad}");
+        assert!(err.contains(at) && err.lines().count() == 1, "{bad}: {err}");
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -297,7 +297,7 @@
     /// A running txn has come to a call.
     pub fn call_needed(&mut self, now: Duration, id: TxnId) {
         self.run_dues(now);
-        if let Some(txn) = self.txns.get_mut(&id).filter(|t| t.stage == Stage::Running) {
+        if let Some(txn) = self.txns.get_mut(&id).filter(|t| t.stage == Stage::Running && !t.answered) {
             txn.stage = Stage::AtCall;
             txn.call_since = now;
             self.make_calls(now);
@@ -307,7 +307,8 @@
 
     pub fn call_ended(&mut self, now: Duration, id: TxnId, how: Outcome, took: Duration) {
         self.run_dues(now);
-        let Some(txn) = self.txns.get_mut(&id).filter(|t| t.stage == Stage::Calling) else { return };
+        let calling = |t: &&mut Txn| t.stage == Stage::Calling && !t.answered;
+        let Some(txn) = self.txns.get_mut(&id).filter(calling) else { return };
         txn.stage = Stage::AtCall;
         let p = self.products[txn.product].clone();
         if how == Outcome::Completed {
--- /dev/null
+++ b/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! All tests of the module; `common` is their one file of helpers.
+
+mod common;
+mod mechanism;
+mod rules;
--- /dev/null
+++ b/tests/suite/mechanism.rs
@@ -0,0 +1,187 @@
+//! The window, the breaker, the hold, the calls and each failure met so far, one small test each.
+
+use crate::common::{settings, At, Play, MS};
+use aldercrank::{Outcome, Settings, TxnId, Value};
+
+const LONG: u32 = 2500;
+
+/// Reads so many inquiry-like txns and lets them be started.
+fn offer(play: &mut Play, many: usize) -> Vec<TxnId> {
+    (0..many).map(|_| play.read(0, MS * LONG, None, 0.99)).collect()
+}
+
+fn running(play: &Play) -> usize {
+    play.world.0.borrow().count(At::Running)
+}
+
+/// One run of this length from start to end.
+fn run_once(play: &mut Play, millis: u32) {
+    let id = play.read(0, MS * 20_000, None, 0.99);
+    play.pass(MS * millis, 9.0);
+    play.end(id, Outcome::Completed);
+}
+
+fn with(name: &str, value: f64) -> Settings {
+    let mut cfg = settings(&["retryable", "dedup"]);
+    cfg.set(name, Value::Num(value));
+    cfg
+}
+
+#[test]
+fn the_window_starts_at_the_core_count_and_the_rest_is_held() {
+    let mut play = Play::new(settings(&["retryable"]));
+    offer(&mut play, 6);
+    assert_eq!((running(&play), play.world.0.borrow().count(At::Held)), (4, 2));
+}
+
+#[test]
+fn it_grows_on_demand_only_and_not_past_the_ceiling() {
+    for (demand, most) in [(false, 4), (true, 8)] {
+        let mut play = Play::new(with("window.per_core", 2.0));
+        for _ in 0..60 {
+            let ids = offer(&mut play, if demand { 8 } else { 2 });
+            play.pass(MS * 100, 9.0);
+            ids.into_iter().for_each(|id| play.end(id, Outcome::Completed));
+        }
+        offer(&mut play, 12);
+        assert_eq!(running(&play), most, "demand {demand}");
+    }
+}
+
+#[test]
+fn idle_cores_with_work_held_grow_it_each_tick_and_a_cold_start_keeps_it_low() {
+    for (cold, most) in [(false, 8), (true, 4)] {
+        let mut cfg = with("window.per_core", 2.0);
+        cfg.set("family_info.cold", Value::Flag(cold));
+        cfg.set("rules.cold_from", Value::Num(0.6));
+        let mut play = Play::new(cfg);
+        offer(&mut play, 9);
+        play.pass(MS * 40, 1.0);
+        assert_eq!(running(&play), most, "cold {cold}");
+    }
+}
+
+#[test]
+fn a_p99_over_one_and_the_breaker_cut_it_never_below_the_cores() {
+    for (millis, left) in [(1200, 5), (3300, 5), (900, 8)] {
+        let mut play = Play::new(with("window.per_core", 2.0));
+        offer(&mut play, 9);
+        play.pass(MS * 40, 1.0);
+        let first = play.world.0.borrow().txns.keys().next().copied().unwrap();
+        play.pass(MS * 20, 9.0);
+        let now = play.now();
+        play.world.0.borrow_mut().txns.get_mut(&first).unwrap().at = At::Over;
+        play.world.0.borrow_mut().txns.get_mut(&first).unwrap().answers = 1;
+        play.brain.run_ended(now, first, Outcome::Completed, MS * millis);
+        if millis < 3000 {
+            play.pass(MS * 600, 9.0);
+        }
+        let ids: Vec<TxnId> = play.world.0.borrow().txns.keys().copied().collect();
+        ids.into_iter().for_each(|id| play.end(id, Outcome::Recalled));
+        offer(&mut play, 9);
+        assert_eq!(running(&play), left, "run of {millis} ms");
+    }
+}
+
+#[test]
+fn time_at_calls_is_no_run_time_and_leaves_the_window() {
+    let mut play = Play::new(settings(&["retryable"]));
+    let ids = offer(&mut play, 5);
+    play.world.0.borrow_mut().txns.get_mut(&ids[0]).unwrap().at = At::Waiting;
+    play.brain.call_needed(MS, ids[0]);
+    assert_eq!((play.at(ids[0]), play.at(ids[4])), (At::Calling, At::Running));
+}
+
+#[test]
+fn calls_keep_to_their_share_and_wait_their_turn() {
+    let mut play = Play::new(with("family_info.calls_out", 3.0));
+    let ids = offer(&mut play, 4);
+    for id in &ids {
+        play.world.0.borrow_mut().txns.get_mut(id).unwrap().at = At::Waiting;
+        play.brain.call_needed(MS, *id);
+    }
+    assert_eq!(play.world.0.borrow().count(At::Calling), 1);
+    play.world.0.borrow_mut().txns.get_mut(&ids[0]).unwrap().at = At::Running;
+    play.brain.call_ended(MS * 30, ids[0], Outcome::Completed, MS * 29);
+    assert_eq!(play.at(ids[1]), At::Calling);
+}
+
+#[test]
+fn a_referenced_call_that_may_have_run_is_not_made_again() {
+    let mut play = Play::new(settings(&["retryable", "dedup"]));
+    for (how, open) in [(Outcome::Severed, false), (Outcome::Saturated, true)] {
+        let id = play.read(1, MS * LONG, Some(how as u8), 0.5);
+        play.world.0.borrow_mut().txns.get_mut(&id).unwrap().at = At::Waiting;
+        let now = play.now();
+        play.brain.call_needed(now, id);
+        play.world.0.borrow_mut().txns.get_mut(&id).unwrap().at = At::Waiting;
+        play.brain.call_ended(now, id, how, MS);
+        play.pass(MS * 150, 9.0);
+        assert_eq!(play.world.0.borrow().txns[&id].answers == 0, open, "{how:?}");
+        play.end(id, Outcome::Recalled);
+    }
+}
+
+#[test]
+fn a_repeat_takes_the_place_of_one_held_and_joins_one_that_ran() {
+    let mut play = Play::new(settings(&["retryable", "dedup"]));
+    let ran = play.read(1, MS * LONG, Some(1), 0.5);
+    let joined = play.read(1, MS * LONG, Some(1), 0.5);
+    offer(&mut play, 3);
+    let held = play.read(1, MS * LONG, Some(2), 0.5);
+    let heir = play.read(1, MS * LONG, Some(2), 0.5);
+    let ats = [ran, joined, held, heir].map(|id| play.at(id));
+    assert_eq!(ats, [At::Running, At::Joined, At::Over, At::Held]);
+}
+
+#[test]
+fn a_txn_that_cannot_be_in_time_is_answered_at_once_and_told_when_to_come_back() {
+    let mut play = Play::new(settings(&["retryable"]));
+    offer(&mut play, 40);
+    let w = play.world.0.borrow();
+    assert!(w.declined.len() > 10 && w.declined.iter().any(|(_, back_in, _)| back_in.is_some()));
+    assert!(w.count(At::Held) > 0);
+}
+
+/// A stall, once learnt as the usual run time, must not have all turned away for good.
+#[test]
+fn a_stall_is_forgotten() {
+    let mut play = Play::new(settings(&["retryable"]));
+    for _ in 0..60 {
+        run_once(&mut play, 1500);
+    }
+    play.pass(MS * 6000, 0.0);
+    let id = play.read(0, MS * LONG, None, 0.99);
+    assert_eq!(play.at(id), At::Running);
+}
+
+/// Where reading alone fills the cores, a decline asks not to try elsewhere; a cold server never does.
+#[test]
+fn txns_unread_for_long_end_the_tries() {
+    for cold in [false, true] {
+        let mut cfg = settings(&["retryable"]);
+        cfg.set("family_info.cold", Value::Flag(cold));
+        let mut play = Play::new(cfg);
+        for _ in 0..40 {
+            play.pass(MS * 25, 9.0);
+            play.read_as(0, MS * LONG, None, 0.5, MS * 990, 10.0);
+        }
+        let last = play.world.0.borrow().declined.last().map(|(_, _, last)| *last);
+        assert_eq!(last, Some(!cold));
+    }
+}
+
+/// The credit falls when txns lie unread, so that a slow server is sent less.
+#[test]
+fn the_credit_falls_with_time_unread() {
+    let mut cfg = settings(&["retryable"]);
+    cfg.set("family_info.advert", Value::Text("window".into()));
+    let mut play = Play::new(cfg);
+    play.pass(MS * 100, 0.0);
+    let before = *play.world.0.borrow().said.last().unwrap();
+    for _ in 0..20 {
+        play.pass(MS * 30, 9.0);
+        play.read_as(0, MS * LONG, None, 0.5, MS * 900, 10.0);
+    }
+    assert!(*play.world.0.borrow().said.last().unwrap() < before / 2.0);
+}
