The level counts time unread, the ceiling only runs on the cores; unfit past one SLA time unread

Two causes, told apart by server and second: two servers read txns that had lain 2 to 6 s and still said all was well, while the others declined a third with a quarter of their cores idle, since runs waiting for a disk filled a ceiling meant for cores. Covers slow machines, pauses and hangs alike; it harms where a burst alone lengthens the reading.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,6 +31,7 @@
 const HOPELESS: f64 = 1.0; // of a usual run: less time than that before the SLA time is not worth a start
 const PACE_GAIN: f64 = 0.1;
 const UNREAD_LONG: f64 = 0.15; // of the shortest SLA time
+const DISK_GAIN: f64 = 0.02;
 const PACE_FORGOTTEN: f64 = 0.2; // an evaluation
 const PACE_AT_FIRST: f64 = 0.25; // of the SLA time, until a run has ended
 
@@ -65,8 +66,6 @@
     product: usize,
     arrived: Duration,
     due: Duration,
-    /// Its place in the hold: the SLA time, or the expiry once that is past.
-    order: Duration,
     expiry: Duration,
     kb: f64,
     /// What the level is compared with.
@@ -121,6 +120,9 @@
     paced: Vec<bool>,
     /// Seconds that txns lie unread, of late.
     unread: f64,
+    /// The share of running txns that are on a core.
+    on_core: f64,
+    healthy: bool,
     /// Which products the level weighs first.
     shed_first: Vec<bool>,
     level: f64,
@@ -193,6 +195,8 @@
             seen: vec![1.0; products.len()],
             paced: vec![false; products.len()],
             unread: 0.0,
+            on_core: 1.0,
+            healthy: true,
             shed_first: vec![true; products.len()],
             level: 0.0,
             calls_window,
@@ -224,16 +228,7 @@
         self.seen[product] += 1.0;
         let due = (arrived + p.sla).min(expiry);
         let worth = self.worth(now, product, read);
-        let txn = Txn {
-            product,
-            arrived,
-            due,
-            order: due,
-            expiry,
-            kb: read.memory_kb.max(0.0),
-            worth,
-            ..Txn::default()
-        };
+        let txn = Txn { product, arrived, due, expiry, kb: read.memory_kb.max(0.0), worth, ..Txn::default() };
         // A repeat never runs beside what it repeats: it takes the place of one still held, and is answered
         // from one that has run. An id that is not in the table is from before it, or a twin not yet read.
         let mut first = read.repeats;
@@ -281,6 +276,11 @@
         // Idle-core growth: cores idle while work waits, so the window grows by the number held.
         let named = |i: &usize| self.cfg.text(&format!("family_info.meters.{i}")) == Some("runnable");
         let runnable = (0..gauges.len()).find(named).map(|i| gauges[i]);
+        // Runs that wait for a disk are on no core; the ceiling is for those that are.
+        let runs = self.count(|t| t.stage == Stage::Running) as f64;
+        if let Some(runnable) = runnable.filter(|_| runs > 0.0) {
+            self.on_core += DISK_GAIN * ((runnable / runs).min(1.0) - self.on_core);
+        }
         if runnable.is_some_and(|r| r < self.cores) && !self.hold.is_empty() {
             self.window = (self.window + self.hold.len() as f64).min(self.ceiling(now));
         }
@@ -291,6 +291,13 @@
         self.prune(now);
         self.fill(now);
         self.make_calls(now);
+        // Unfit while txns lie unread for longer than the SLA time, whatever slows the reading.
+        let healthy = self.unread < self.shortest() * if self.healthy { 1.0 } else { UNREAD_LONG };
+        if healthy != self.healthy && self.leaving.is_none() {
+            self.healthy = healthy;
+            self.host.health(healthy, true);
+            self.log(now, "health", format!("healthy {healthy}: txns lie unread for {:.2} s", self.unread));
+        }
         self.advertise(now);
     }
 
@@ -426,7 +433,7 @@
     fn ceiling(&self, now: Duration) -> f64 {
         let warm = self.cfg.num("window.per_core").unwrap_or(WARM_PER_CORE);
         let cold = self.cfg.num("window.cold_per_core").unwrap_or(COLD_PER_CORE).min(warm);
-        (self.cores * (cold + (warm - cold) * self.warmth(now))).max(self.cores)
+        (self.cores * (cold + (warm - cold) * self.warmth(now)) / self.on_core.max(0.4)).max(self.cores)
     }
 
     /// How far this server has warmed up at least, 0 to 1.
@@ -464,7 +471,7 @@
         if crowd > (CROWD_SHARE * survives).max(self.cores) || memory > MEMORY_SHARE {
             return false;
         }
-        self.hold.remove(&(txn.order, id));
+        self.hold.remove(&(txn.due, id));
         self.txns.entry(id).and_modify(|t| (t.stage, t.started) = (Stage::Running, now));
         self.host.start(id);
         true
@@ -564,7 +571,7 @@
     /// Moves the level of value with the hold.
     fn weigh(&mut self, now: Duration) {
         let slack = self.usual(|i| (self.products[i].sla.as_secs_f64() - self.run_time(now, i)).max(0.0));
-        let filled = self.wait(now) / slack.max(1e-3);
+        let filled = (self.wait(now) + self.unread) / slack.max(1e-3);
         self.level = ((filled - LEVEL_FROM) / (LEVEL_TO - LEVEL_FROM)).clamp(0.0, 2.0);
     }
 
@@ -576,19 +583,9 @@
         let hold: Vec<(Duration, TxnId)> = self.hold.iter().copied().collect();
         let paces: Vec<f64> = (0..self.products.len()).map(|i| self.run_time(now, i)).collect();
         for (_, id) in hold {
-            let Some(txn) = self.txns.get_mut(&id) else { continue };
+            let Some(txn) = self.txns.get(&id) else { continue };
             let run = paces[txn.product];
-            let p = &self.products[txn.product];
-            let mut slack = txn.due.saturating_sub(now).as_secs_f64() - run * HOPELESS;
-            if slack < 0.0 && p.late > 0.0 && self.level <= 0.0 {
-                // Late answers still earn a part while nothing else wants the cores.
-                if txn.order < txn.expiry {
-                    self.hold.remove(&(txn.order, id));
-                    txn.order = txn.expiry;
-                    self.hold.insert((txn.order, id));
-                }
-                slack = txn.expiry.saturating_sub(now).as_secs_f64() - run;
-            }
+            let slack = txn.due.saturating_sub(now).as_secs_f64() - run * HOPELESS;
             if slack < 0.0 {
                 self.turn_away(now, id);
                 continue;
@@ -612,7 +609,8 @@
         let advice = self.cfg.flag("limits.retry_after") == Some(true);
         let most = self.cfg.span("limits.max_retry_after").unwrap_or_default();
         let wait = Duration::from_secs_f64(self.wait(now) * (0.5 + self.chance()));
-        let back_in = if self.leaving.is_some() { most } else { wait.min(most) };
+        let away = self.leaving.is_some() || (!self.healthy && self.warmth(now) >= 1.0);
+        let back_in = if away { most } else { wait.min(most) };
         if self.level > 0.0 {
             let line = format!("level {:.2}: the hold takes {:.2} s", self.level, self.wait(now));
             self.log(now, "level", line);
@@ -646,7 +644,7 @@
     /// Takes a txn that has not run out of the hold, and out of the table.
     fn drop_unrun(&mut self, id: TxnId) {
         if let Some(txn) = self.txns.remove(&id) {
-            self.hold.remove(&(txn.order, id));
+            self.hold.remove(&(txn.due, id));
             self.dues.remove(&(txn.expiry.saturating_sub(self.tick), Due::Expiry, id));
             self.kept.remove(&id).inspect(|_| self.host.forget(id));
         }
@@ -787,7 +785,9 @@
         let gets_done = self.usual(|i| self.products[i].sla.as_secs_f64() / stay(i));
         let value = match self.cfg.text("family_info.advert") {
             Some("threshold") => shed / self.products.len().max(1) as f64,
-            Some("share_of") => (0.3 + 0.7 * self.warmth(now)) * (1.0 - shed / 2.0),
+            Some("share_of") => {
+                (0.3 + 0.7 * self.warmth(now)) * (1.0 - shed / 2.0) * f64::from(u8::from(self.healthy))
+            }
             Some("window") => self.window * CREDIT * gets_done / callers,
             _ => return,
         };
