The credit for each caller follows from how evenly callers send

Cause: the credit was split evenly over six callers, of whom one sends nearly all. Told apart by empty holds and low levels. Change: the split uses the sum of squared shares of what was read, at least one over the callers. Covers any uneven crowd of callers; where the largest sender is the one that storms, it is held back less.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,7 +10,7 @@
 
 use crate::host::Host;
 use crate::settings::Settings;
-use crate::types::{Arrival, Effect, Outcome, Product, TxnId};
+use crate::types::{Arrival, CallerId, Effect, Outcome, Product, TxnId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -31,7 +31,6 @@
 const HOPELESS: f64 = 1.0; // of a usual run: less time than that before the SLA time is not worth a start
 const PACE_GAIN: f64 = 0.1;
 const UNREAD_LONG: f64 = 0.15; // of the shortest SLA time
-const DISK_GAIN: f64 = 0.02;
 const PACE_FORGOTTEN: f64 = 0.2; // an evaluation
 const PACE_AT_FIRST: f64 = 0.25; // of the SLA time, until a run has ended
 
@@ -118,6 +117,7 @@
     pace: Vec<f64>,
     seen: Vec<f64>,
     paced: Vec<bool>,
+    callers: BTreeMap<CallerId, f64>,
     /// Seconds that txns lie unread, of late.
     unread: f64,
     /// The share of running txns that are on a core.
@@ -194,6 +194,7 @@
             pace,
             seen: vec![1.0; products.len()],
             paced: vec![false; products.len()],
+            callers: BTreeMap::new(),
             unread: 0.0,
             on_core: 1.0,
             healthy: true,
@@ -226,6 +227,8 @@
         expiry = expiry.min(self.leaving.map_or(expiry, |(_, stop)| stop));
         self.seen.iter_mut().for_each(|s| *s *= 0.995);
         self.seen[product] += 1.0;
+        self.callers.values_mut().for_each(|c| *c *= 0.995);
+        *self.callers.entry(read.caller).or_default() += 1.0;
         let due = (arrived + p.sla).min(expiry);
         let worth = self.worth(now, product, read);
         let txn = Txn { product, arrived, due, expiry, kb: read.memory_kb.max(0.0), worth, ..Txn::default() };
@@ -279,7 +282,7 @@
         // Runs that wait for a disk are on no core; the ceiling is for those that are.
         let runs = self.count(|t| t.stage == Stage::Running) as f64;
         if let Some(runnable) = runnable.filter(|_| runs > 0.0) {
-            self.on_core += DISK_GAIN * ((runnable / runs).min(1.0) - self.on_core);
+            self.on_core += PACE_GAIN * ((runnable / runs).min(1.0) - self.on_core);
         }
         if runnable.is_some_and(|r| r < self.cores) && !self.hold.is_empty() {
             self.window = (self.window + self.hold.len() as f64).min(self.ceiling(now));
@@ -401,11 +404,10 @@
     fn evaluate(&mut self, now: Duration) {
         self.evaluated = now;
         let longest = self.products.iter().map(|p| p.sla).max().unwrap_or(self.tick);
-        let since = now.saturating_sub(longest.mul_f64(SLIDING));
-        self.latencies.retain(|(at, _)| *at >= since);
+        self.latencies.retain(|(at, _)| *at + longest.mul_f64(SLIDING) >= now);
         let mut ratios: Vec<f64> = self.latencies.iter().map(|(_, r)| *r).collect();
         ratios.sort_by(f64::total_cmp);
-        let p99 = ratios.get(ratios.len() * 99 / 100).copied().unwrap_or(0.0);
+        let p99 = *ratios.get(ratios.len() * 99 / 100).unwrap_or(&0.0);
         if p99 > 1.0 {
             self.window *= BETA;
             self.log(now, "cut", format!("p99 at {p99:.2} SLA times, window {:.1}", self.window));
@@ -580,11 +582,9 @@
     fn prune(&mut self, now: Duration) {
         let mut ahead: Vec<(f64, TxnId, f64)> = Vec::new();
         let mut wait = 0.0;
-        let hold: Vec<(Duration, TxnId)> = self.hold.iter().copied().collect();
-        let paces: Vec<f64> = (0..self.products.len()).map(|i| self.run_time(now, i)).collect();
-        for (_, id) in hold {
+        for (_, id) in self.hold.clone() {
             let Some(txn) = self.txns.get(&id) else { continue };
-            let run = paces[txn.product];
+            let run = self.run_time(now, txn.product);
             let slack = txn.due.saturating_sub(now).as_secs_f64() - run * HOPELESS;
             if slack < 0.0 {
                 self.turn_away(now, id);
@@ -711,7 +711,6 @@
         let mut ahead = 0.0;
         let calls = |i: &usize| self.cfg.flag(&format!("family_info.class_calls.{i}")) != Some(false);
         let most = (0..self.products.len()).filter(calls).map(|i| self.stake(i)).max().unwrap_or(0);
-        let slow = self.calls_slow();
         for (stake, _, id) in waiting {
             let out = (self.count(|t| t.stage == Stage::Calling) + self.lingering) as f64;
             let txn = &self.txns[&id];
@@ -724,7 +723,7 @@
             let room = (out + 1.0 <= self.calls_window || paced) && now >= txn.redial;
             let wait = if room { self.call_pace } else { (ahead + 1.0) * gap + self.call_pace };
             let futile = wait > to_due.as_secs_f64() * 0.5 && (!to_due.is_zero() || p.late <= 0.0 || !room);
-            if p.without > 0.0 && (futile || (slow && -stake < most)) {
+            if p.without > 0.0 && (futile || (-stake < most && self.calls_slow())) {
                 self.skip_call(now, id);
             } else if room {
                 let least = Duration::from_millis(10);
@@ -741,11 +740,10 @@
     }
 
     fn skip_call(&mut self, now: Duration, id: TxnId) {
-        if let Some(txn) = self.txns.get_mut(&id) {
-            txn.stage = Stage::Running;
-            txn.call_wait += now.saturating_sub(txn.call_since);
-            self.host.skip_call(id);
-        }
+        let Some(txn) = self.txns.get_mut(&id) else { return };
+        txn.stage = Stage::Running;
+        txn.call_wait += now.saturating_sub(txn.call_since);
+        self.host.skip_call(id);
     }
 
     // ---- the rest ----
@@ -780,20 +778,22 @@
     /// The free value, in the form that the settings ask for.
     fn advertise(&mut self, now: Duration) {
         let shed = self.level.min(1.0);
-        let callers = self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0);
+        // A credit is the same for all callers: what each may have follows from how evenly they send.
+        let sent: f64 = self.callers.values().sum();
+        let even = 1.0 / self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0);
+        let each = self.callers.values().map(|c| (c / sent).powi(2)).sum::<f64>().max(even);
         let stay = |i: usize| (self.run_time(now, i) + self.unread).max(1e-3);
-        let gets_done = self.usual(|i| self.products[i].sla.as_secs_f64() / stay(i));
+        let done = self.usual(|i| self.products[i].sla.as_secs_f64() / stay(i));
         let value = match self.cfg.text("family_info.advert") {
             Some("threshold") => shed / self.products.len().max(1) as f64,
             Some("share_of") => {
                 (0.3 + 0.7 * self.warmth(now)) * (1.0 - shed / 2.0) * f64::from(u8::from(self.healthy))
             }
-            Some("window") => self.window * CREDIT * gets_done / callers,
+            Some("window") => self.window * CREDIT * done * each,
             _ => return,
         };
         let value = if value < 10.0 { (value * 20.0).round() / 20.0 } else { value.round() };
-        if value != self.advertised {
-            self.advertised = value;
+        if std::mem::replace(&mut self.advertised, value) != value {
             self.host.advertise(value);
         }
     }
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -1,6 +1,6 @@
 //! A slow, plain model of a server and of the four rules, which plays host to the module.
 
-use aldercrank::{Arrival, Brain, Effect, Host, Outcome, Settings, TxnId, Value};
+use aldercrank::{Arrival, Brain, CallerId, Effect, Host, Outcome, Settings, TxnId, Value};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -269,6 +269,7 @@
     pub brain: Brain<Shared>,
     pub world: Shared,
     pub next: u32,
+    pub caller: u64,
 }
 
 impl Play {
@@ -283,7 +284,7 @@
         world.0.borrow_mut().effects = named.map(effect).collect();
         world.0.borrow_mut().cfg = cfg.clone();
         let brain = Brain::start(cfg, 7, Duration::ZERO, world.clone());
-        Play { brain, world, next: 1 }
+        Play { brain, world, next: 1, caller: 0 }
     }
 
     pub fn now(&self) -> Duration {
@@ -359,6 +360,7 @@
             rank,
             lay,
             repeats,
+            caller: CallerId(self.caller),
             ..Arrival::default()
         };
         self.brain.txn_read(now, id, &read);
--- a/tests/suite/mechanism.rs
+++ b/tests/suite/mechanism.rs
@@ -177,6 +177,7 @@
     let mut cfg = settings(&["retryable"]);
     cfg.set("family_info.advert", Value::Text("window".into()));
     let mut play = Play::new(cfg);
+    play.read(0, MS * LONG, None, 0.5);
     play.pass(MS * 100, 0.0);
     let before = *play.world.0.borrow().said.last().unwrap();
     for _ in 0..20 {
@@ -185,3 +186,20 @@
     }
     assert!(*play.world.0.borrow().said.last().unwrap() < before / 2.0);
 }
+
+/// One caller that sends nearly all must not be held to an even share of the credit.
+#[test]
+fn the_credit_follows_who_sends() {
+    let credit = |senders: u64| {
+        let mut cfg = with("family_info.upstreams", 6.0);
+        cfg.set("family_info.advert", Value::Text("window".into()));
+        let mut play = Play::new(cfg);
+        for n in 0..60 {
+            play.caller = n % senders;
+            run_once(&mut play, 100);
+        }
+        let said = *play.world.0.borrow().said.last().unwrap();
+        said
+    };
+    assert!(credit(1) > 4.0 * credit(6));
+}
