--- a/src/brain.rs
+++ b/src/brain.rs
@@ -117,8 +117,6 @@
     pace: Vec<f64>,
     seen: Vec<f64>,
     paced: Vec<bool>,
-    /// Seconds that txns of each product have stood at calls of late.
-    call_waits: Vec<f64>,
     callers: BTreeMap<CallerId, f64>,
     /// Seconds that txns lie unread, of late.
     unread: f64,
@@ -196,7 +194,6 @@
             pace,
             seen: vec![1.0; products.len()],
             paced: vec![false; products.len()],
-            call_waits: vec![0.0; products.len()],
             callers: BTreeMap::new(),
             unread: 0.0,
             on_core: 1.0,
@@ -355,10 +352,6 @@
             if matches!(txn.stage, Stage::AtCall | Stage::Calling) {
                 txn.call_wait += now.saturating_sub(txn.call_since);
             }
-            if txn.stage != Stage::Joined {
-                self.call_waits[txn.product] +=
-                    PACE_GAIN * (txn.call_wait.as_secs_f64() - self.call_waits[txn.product]);
-            }
             if how == Outcome::Completed && txn.stage != Stage::Joined {
                 let ran = took.saturating_sub(txn.call_wait).as_secs_f64();
                 let ratio = ran / self.products[txn.product].sla.as_secs_f64();
@@ -430,7 +423,6 @@
             if !std::mem::take(&mut self.paced[i]) && self.pace[i] > first {
                 self.pace[i] += PACE_FORGOTTEN * (first - self.pace[i]);
             }
-            self.call_waits[i] *= 1.0 - PACE_FORGOTTEN / 4.0;
         }
         if !self.calls_slow() {
             let share = self.calls_share();
@@ -593,8 +585,7 @@
         for (_, id) in self.hold.clone() {
             let Some(txn) = self.txns.get(&id) else { continue };
             let run = self.run_time(now, txn.product);
-            let slack =
-                txn.due.saturating_sub(now).as_secs_f64() - run * HOPELESS - self.call_waits[txn.product];
+            let slack = txn.due.saturating_sub(now).as_secs_f64() - run * HOPELESS;
             if slack < 0.0 {
                 self.turn_away(now, id);
                 continue;
