A warm server that turns away over half of its reads says: try nobody else

The time unread told this only on the worst servers; what is turned away tells it on all. Replaces the test of the time unread. It harms where only this server is full and warm.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,7 +30,7 @@
 const LEVEL_TO: f64 = 0.8;
 const HOPELESS: f64 = 1.0; // of a usual run: less time than that before the SLA time is not worth a start
 const PACE_GAIN: f64 = 0.1;
-const UNREAD_LONG: f64 = 0.15; // of the shortest SLA time
+const TURNED_MOST: f64 = 0.5; // of what is read
 const PACE_FORGOTTEN: f64 = 0.2; // an evaluation
 const PACE_AT_FIRST: f64 = 0.25; // of the SLA time, until a run has ended
 
@@ -44,7 +44,6 @@
 const CALLS_LEAST: f64 = 0.35; // of this server's share
 const CALLS_STEP: f64 = 0.1;
 const CALLS_KNOWN: u32 = 20; // calls until their usual time is known
-const CALLS_AT_FIRST: f64 = 0.4;
 const CREDIT: f64 = 0.45; // txns out with us in all: what the window gets done in this share of an SLA time
 const REDIAL: f64 = 0.05; // SLA times
 const QUIET_LOG: Duration = Duration::from_secs(5);
@@ -120,6 +119,8 @@
     callers: BTreeMap<CallerId, f64>,
     /// Seconds that txns lie unread, of late.
     unread: f64,
+    /// The share of what is read that is turned away, of late.
+    turned: f64,
     /// The share of running txns that are on a core.
     on_core: f64,
     healthy: bool,
@@ -174,7 +175,7 @@
         host.health(true, true);
         host.wake(tick);
         let calls_window =
-            cfg.num("family_info.calls_out").filter(|c| *c > 0.0).unwrap_or(f64::MAX) * CALLS_AT_FIRST;
+            cfg.num("family_info.calls_out").filter(|c| *c > 0.0).unwrap_or(f64::MAX) * CALLS_LEAST;
         let pace = products.iter().map(|p| p.sla.as_secs_f64() * PACE_AT_FIRST).collect();
         Brain {
             host,
@@ -196,6 +197,7 @@
             paced: vec![false; products.len()],
             callers: BTreeMap::new(),
             unread: 0.0,
+            turned: 0.0,
             on_core: 1.0,
             healthy: true,
             shed_first: vec![true; products.len()],
@@ -218,6 +220,7 @@
     pub fn txn_read(&mut self, now: Duration, id: TxnId, read: &Arrival) {
         self.run_dues(now);
         let arrived = now.saturating_sub(read.lay);
+        self.turned *= 1.0 - PACE_GAIN;
         self.unread += PACE_GAIN * (read.lay.as_secs_f64() - self.unread);
         let Some(product) = self.products.iter().position(|p| p.name == read.product) else {
             return self.host.decline(id, None, false);
@@ -295,9 +298,8 @@
         self.fill(now);
         self.make_calls(now);
         // Unfit while txns lie unread for longer than the SLA time, whatever slows the reading.
-        let healthy = self.unread < self.shortest() * if self.healthy { 1.0 } else { UNREAD_LONG };
-        if healthy != self.healthy && self.leaving.is_none() {
-            self.healthy = healthy;
+        let healthy = self.unread < self.shortest();
+        if self.leaving.is_none() && std::mem::replace(&mut self.healthy, healthy) != healthy {
             self.host.health(healthy, true);
             self.log(now, "health", format!("healthy {healthy}: txns lie unread for {:.2} s", self.unread));
         }
@@ -347,11 +349,8 @@
     }
 
     pub fn run_ended(&mut self, now: Duration, id: TxnId, how: Outcome, took: Duration) {
-        if let Some(mut txn) = self.txns.remove(&id) {
+        if let Some(txn) = self.txns.remove(&id) {
             self.dues.remove(&(txn.expiry.saturating_sub(self.tick), Due::Expiry, id));
-            if matches!(txn.stage, Stage::AtCall | Stage::Calling) {
-                txn.call_wait += now.saturating_sub(txn.call_since);
-            }
             if how == Outcome::Completed && txn.stage != Stage::Joined {
                 let ran = took.saturating_sub(txn.call_wait).as_secs_f64();
                 let ratio = ran / self.products[txn.product].sla.as_secs_f64();
@@ -606,8 +605,8 @@
     /// Gives up on a txn that has not run, and says when to come back.
     fn turn_away(&mut self, now: Duration, id: TxnId) {
         self.drop_unrun(id);
-        let advice = self.cfg.flag("limits.retry_after") == Some(true);
-        let most = self.cfg.span("limits.max_retry_after").unwrap_or_default();
+        let heard = self.cfg.flag("limits.retry_after") == Some(true);
+        let most = self.cfg.span("limits.max_retry_after").filter(|_| heard).unwrap_or_default();
         let wait = Duration::from_secs_f64(self.wait(now) * (0.5 + self.chance()));
         let away = self.leaving.is_some() || (!self.healthy && self.warmth(now) >= 1.0);
         let back_in = if away { most } else { wait.min(most) };
@@ -616,10 +615,10 @@
             self.log(now, "level", line);
         }
         self.advertise(now);
-        // Reading alone fills the cores: one more try elsewhere would only add to it.
-        let last =
-            self.unread > UNREAD_LONG * self.shortest() && self.leaving.is_none() && self.warmth(now) >= 1.0;
-        self.host.decline(id, Some(back_in).filter(|b| advice && !b.is_zero()), last);
+        // A warm server that turns away most of what it reads is not alone: one more try would be read in vain.
+        self.turned += PACE_GAIN;
+        let last = self.turned > TURNED_MOST && self.leaving.is_none() && self.warmth(now) >= 1.0;
+        self.host.decline(id, Some(back_in).filter(|b| !b.is_zero()), last);
     }
 
     /// The error that promises nothing, for what has run or repeats what has run.
