--- a/src/brain.rs
+++ b/src/brain.rs
@@ -581,10 +581,11 @@
     fn prune(&mut self, now: Duration) {
         let mut ahead: Vec<(f64, TxnId, f64)> = Vec::new();
         let mut wait = 0.0;
+        let sure = HOPELESS * (1.0 + self.level.min(1.0));
         for (_, id) in self.hold.clone() {
             let Some(txn) = self.txns.get(&id) else { continue };
             let run = self.run_time(now, txn.product);
-            let slack = txn.due.saturating_sub(now).as_secs_f64() - run * HOPELESS;
+            let slack = txn.due.saturating_sub(now).as_secs_f64() - run * sure;
             if slack < 0.0 {
                 self.turn_away(now, id);
                 continue;
