--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,6 +29,7 @@
 const LEVEL_FROM: f64 = 0.3;
 const LEVEL_TO: f64 = 0.8;
 const HOPELESS: f64 = 1.0; // of a usual run: less time than that before the SLA time is not worth a start
+const SURER: f64 = 2.0; // usual runs more than that, under a full level
 const PACE_GAIN: f64 = 0.1;
 const TURNED_MOST: f64 = 0.5; // of what is read
 const PACE_FORGOTTEN: f64 = 0.2; // an evaluation
@@ -45,7 +46,6 @@
 const CALLS_STEP: f64 = 0.1;
 const CALLS_KNOWN: u32 = 20; // calls until their usual time is known
 const CREDIT: f64 = 0.45; // txns out with us in all: what the window gets done in this share of an SLA time
-const REDIAL: f64 = 0.05; // SLA times
 const QUIET_LOG: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -339,7 +339,7 @@
             if p.without > 0.0 && (!again || self.txns[&id].calls > 1) {
                 self.skip_call(now, id);
             } else if again && self.txns[&id].calls < 5 {
-                self.txns.get_mut(&id).expect("looked up above").redial = now + p.sla.mul_f64(REDIAL);
+                self.txns.get_mut(&id).expect("looked up above").redial = now + self.tick * 2;
             } else {
                 self.void(id);
             }
@@ -581,7 +581,7 @@
     fn prune(&mut self, now: Duration) {
         let mut ahead: Vec<(f64, TxnId, f64)> = Vec::new();
         let mut wait = 0.0;
-        let sure = HOPELESS * (1.0 + self.level.min(1.0));
+        let sure = HOPELESS + SURER * self.level.min(1.0);
         for (_, id) in self.hold.clone() {
             let Some(txn) = self.txns.get(&id) else { continue };
             let run = self.run_time(now, txn.product);
