--- a/src/brain.rs
+++ b/src/brain.rs
@@ -789,7 +789,7 @@
             Some("share_of") => {
                 (0.3 + 0.7 * self.warmth(now)) * (1.0 - shed / 2.0) * f64::from(u8::from(self.healthy))
             }
-            Some("window") => self.window * CREDIT * done * each * (1.0 - shed),
+            Some("window") => self.window * CREDIT * done * each,
             _ => return,
         };
         let value = if value < 10.0 { (value * 20.0).round() / 20.0 } else { value.round() };
