--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,7 +30,6 @@
 const LEVEL_TO: f64 = 0.8;
 const HOPELESS: f64 = 1.0; // of a usual run: less time than that before the SLA time is not worth a start
 const SURER: f64 = 2.0; // usual runs more than that, under a full level
-const CORES_FULL: f64 = 1.2;
 const PACE_GAIN: f64 = 0.1;
 const TURNED_MOST: f64 = 0.5; // of what is read
 const PACE_FORGOTTEN: f64 = 0.2; // an evaluation
@@ -120,8 +119,6 @@
     callers: BTreeMap<CallerId, f64>,
     /// Seconds that txns lie unread, of late.
     unread: f64,
-    /// What is on the cores beside runs.
-    reading: f64,
     /// The share of what is read that is turned away, of late.
     turned: f64,
     /// The share of running txns that are on a core.
@@ -200,7 +197,6 @@
             paced: vec![false; products.len()],
             callers: BTreeMap::new(),
             unread: 0.0,
-            reading: 0.0,
             turned: 0.0,
             on_core: 1.0,
             healthy: true,
@@ -288,7 +284,6 @@
         let runnable = (0..gauges.len()).find(named).map(|i| gauges[i]);
         // Runs that wait for a disk are on no core; the ceiling is for those that are.
         let runs = self.count(|t| t.stage == Stage::Running) as f64;
-        self.reading += PACE_GAIN * ((runnable.unwrap_or(0.0) - runs).max(0.0) - self.reading);
         if let Some(runnable) = runnable.filter(|_| runs > 0.0) {
             self.on_core += PACE_GAIN * ((runnable / runs).min(1.0) - self.on_core);
         }
@@ -453,8 +448,7 @@
     fn fill(&mut self, now: Duration) {
         while let Some(&(_, id)) = self.hold.first() {
             let running = self.count(|t| t.stage == Stage::Running) as f64;
-            let beside = (self.cores * CORES_FULL - self.reading).max(self.cores * 0.5);
-            if running + 1.0 > self.window.min(beside) || !self.start_txn(now, id) {
+            if running + 1.0 > self.window || !self.start_txn(now, id) {
                 self.pressure = true;
                 return;
             }
