Calls that can't be in time any more go behind those that can

Cause: by due time the late ones stand first, so that each comes late in turn. Change: a call too late for the SLA time has only its late value at stake when the waiting calls are ordered. It harms only where a late answer is worth as much as one in time.

--- a/crates/aldercrank-drill/tests/wire.rs
+++ b/crates/aldercrank-drill/tests/wire.rs
@@ -22,6 +22,7 @@
         .unwrap()
         .iter()
         .flat_map(|g| g["actions"].as_array().unwrap().clone())
+        .filter(|a| a["t"] != "WriteLog")
         .collect()
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,12 +1,12 @@
 //! The decision module: what this server takes, runs and turns away.
 //!
-//! How it is called: `Brain::start` gets the settings, a seed and a `Host`; afterwards one method is called for
-//! each thing that happens, with the time since start: `txn_read`, `woken` (the one timer), `call_needed`,
+//! How it is called: `Brain::start` gets the settings, a seed and a `Host`; afterwards one method is called
+//! for each thing that happens, with the time since start: `txn_read`, `woken` (the one timer), `call_needed`,
 //! `call_ended`, `run_ended`, `caller_gone`, `drain`. It acts only by calling the host, at once, and returns
 //! nothing. The interface stands in `host.rs`, ids and products in `types.rs`. After a kill it is dropped.
 //!
-//! The ordinary path is that of "AIMD Queue Server" (docs/design.md): a window of running txns, grown by ALPHA
-//! on demand while the p99 of run time over SLA time has headroom, cut by BETA above 1 or by the breaker.
+//! The ordinary path is that of "AIMD Queue Server" (docs/design.md): a window of running txns, grown by
+//! ALPHA on demand while the p99 of run time over SLA time has headroom, cut by BETA above 1 or by the breaker.
 
 use crate::host::Host;
 use crate::settings::Settings;
@@ -388,8 +388,7 @@
             txn.expiry = stop;
             self.dues.insert((stop.saturating_sub(self.tick), Due::Expiry, *id));
         }
-        let left = stop.saturating_sub(now);
-        self.log(now, "drain", format!("leaving in {left:?} with {} txns in hand", self.txns.len()));
+        self.log(now, "drain", format!("leaving by {stop:?} with {} txns in hand", self.txns.len()));
         self.run_dues(now);
     }
 
@@ -415,8 +414,8 @@
         }
         self.window = self.window.min(self.ceiling(now)).max(self.cores);
         self.pressure = false;
-        // A product that nothing has been learnt of lately is taken for quicker again, or a stall, once learnt,
-        // would have it turned away for ever.
+        // A product that nothing has been learnt of lately is taken for quicker again, or a stall, once
+        // learnt, would have it turned away for ever.
         for i in 0..self.products.len() {
             let first = self.products[i].sla.as_secs_f64() * PACE_AT_FIRST;
             if !std::mem::take(&mut self.paced[i]) && self.pace[i] > first {
@@ -611,12 +610,10 @@
         let wait = Duration::from_secs_f64(self.wait(now) * (0.5 + self.chance()));
         let away = self.leaving.is_some() || (!self.healthy && self.warmth(now) >= 1.0);
         let back_in = if away { most } else { wait.min(most) };
-        if self.level > 0.0 {
-            let line = format!("level {:.2}: the hold takes {:.2} s", self.level, self.wait(now));
-            self.log(now, "level", line);
-        }
+        let line = format!("declines at level {:.2}: the hold takes {:.2} s", self.level, self.wait(now));
+        self.log(now, "level", line);
         self.advertise(now);
-        // A warm server that turns away most of what it reads is not alone: one more try would be read in vain.
+        // A warm server that turns away most of what it reads is not alone: one more try would be in vain.
         self.turned += PACE_GAIN;
         let last = self.turned > TURNED_MOST && self.leaving.is_none() && self.warmth(now) >= 1.0;
         self.host.decline(id, Some(back_in).filter(|b| !b.is_zero()), last);
@@ -672,8 +669,7 @@
         if self.calls_seen >= CALLS_KNOWN {
             self.call_base = self.call_base.min(self.call_pace) * 1.001;
         }
-        let since_cut = now.saturating_sub(self.calls_cut).as_secs_f64();
-        if self.calls_slow() && since_cut > self.call_pace {
+        if self.calls_slow() && now.saturating_sub(self.calls_cut).as_secs_f64() > self.call_pace {
             self.calls_cut = now;
             self.calls_window = (self.calls_window * BETA).max(self.calls_share() * CALLS_LEAST);
             let line = format!("calls take {:.2} s: {:.2} at once", self.call_pace, self.calls_window);
@@ -686,7 +682,6 @@
         self.call_pace > (CALLS_SLOW * self.call_base).max(CALLS_HURT * self.shortest())
     }
 
-    /// The shortest SLA time.
     fn shortest(&self) -> f64 {
         self.products.iter().map(|p| p.sla.as_secs_f64()).fold(f64::MAX, f64::min)
     }
@@ -700,12 +695,16 @@
         (self.products[product].value * (1.0 - self.products[product].without) * 1e6) as i64
     }
 
-    /// Makes the calls that wait, those first that lose most without, while the calls' window has room. Goes on
-    /// without, where that earns a part, once the wait would take half of the time left.
+    /// Makes the calls that wait, those first that lose most without, while the calls' window has room. Goes
+    /// on without, where that earns a part, once the wait would take half of the time left.
     fn make_calls(&mut self, now: Duration) {
         let mut waiting: Vec<(i64, Duration, TxnId)> = Vec::new();
         for (id, t) in self.txns.iter().filter(|(_, t)| t.stage == Stage::AtCall && !t.answered) {
-            waiting.push((-self.stake(t.product), t.due, *id));
+            // One that can't be in time any more has only its late value at stake.
+            let usual = self.run_time(now, t.product) * 0.5 + self.call_pace;
+            let late = t.due.saturating_sub(now).as_secs_f64() < usual;
+            let share = if late { self.products[t.product].late } else { 1.0 };
+            waiting.push(((-self.stake(t.product) as f64 * share) as i64, t.due, *id));
         }
         waiting.sort();
         let mut ahead = 0.0;
@@ -726,13 +725,12 @@
             if p.without > 0.0 && (futile || (-stake < most && self.calls_slow())) {
                 self.skip_call(now, id);
             } else if room {
-                let least = Duration::from_millis(10);
-                let give_up = if p.without > 0.0 && to_due > least { to_due } else { to_expiry };
+                let give_up = if p.without > 0.0 && to_due > self.tick { to_due } else { to_expiry };
                 self.called = now;
                 let txn = self.txns.get_mut(&id).expect("listed above");
                 txn.stage = Stage::Calling;
                 txn.calls += 1;
-                self.host.call(id, give_up.max(least));
+                self.host.call(id, give_up.max(self.tick));
             } else {
                 ahead += 1.0;
             }
@@ -777,7 +775,6 @@
 
     /// The free value, in the form that the settings ask for.
     fn advertise(&mut self, now: Duration) {
-        let shed = self.level.min(1.0);
         // A credit is the same for all callers: what each may have follows from how evenly they send.
         let sent: f64 = self.callers.values().sum();
         let even = 1.0 / self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0);
@@ -785,9 +782,11 @@
         let stay = |i: usize| (self.run_time(now, i) + self.unread).max(1e-3);
         let done = self.usual(|i| self.products[i].sla.as_secs_f64() / stay(i));
         let value = match self.cfg.text("family_info.advert") {
-            Some("threshold") => shed / self.products.len().max(1) as f64,
+            Some("threshold") => self.level.min(1.0) / self.products.len().max(1) as f64,
             Some("share_of") => {
-                (0.3 + 0.7 * self.warmth(now)) * (1.0 - shed / 2.0) * f64::from(u8::from(self.healthy))
+                (0.3 + 0.7 * self.warmth(now))
+                    * (1.0 - self.level.min(1.0) / 2.0)
+                    * f64::from(u8::from(self.healthy))
             }
             Some("window") => self.window * CREDIT * done * each,
             _ => return,
--- a/tests/suite/mechanism.rs
+++ b/tests/suite/mechanism.rs
@@ -203,3 +203,19 @@
     };
     assert!(credit(1) > 4.0 * credit(6));
 }
+
+/// A call that can't be in time any more must not stand before one that can.
+#[test]
+fn a_late_call_goes_behind_one_in_time() {
+    let mut play = Play::new(with("family_info.calls_out", 3.0));
+    let old = play.read(0, MS * 20_000, None, 0.99);
+    play.pass(MS * 900, 9.0);
+    let ids = offer(&mut play, 2);
+    for id in [ids[0], old, ids[1]] {
+        play.world.0.borrow_mut().txns.get_mut(&id).unwrap().at = At::Waiting;
+        play.brain.call_needed(MS * 950, id);
+    }
+    play.world.0.borrow_mut().txns.get_mut(&ids[0]).unwrap().at = At::Running;
+    play.brain.call_ended(MS * 960, ids[0], Outcome::Completed, MS * 10);
+    assert_eq!((play.at(old), play.at(ids[1])), (At::Waiting, At::Calling));
+}
