--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,12 +1,13 @@
 //! The decision module: what this server takes, runs and turns away.
 //!
 //! How it is called: `Brain::start` gets the settings, a seed and a `Host`; afterwards one method is called
-//! for each thing that happens, with the time since start: `txn_read`, `woken` (the one timer), `call_needed`,
-//! `call_ended`, `run_ended`, `caller_gone`, `drain`. It acts only by calling the host, at once, and returns
-//! nothing. The interface stands in `host.rs`, ids and products in `types.rs`. After a kill it is dropped.
+//! for each thing that happens, with the time since start: `txn_read`, `woken` (the one timer), `drain`,
+//! `call_needed`, `call_ended`, `run_ended`, `caller_gone`. It acts only by calling the host, at once, and
+//! returns nothing. The interface stands in `host.rs`, ids and products in `types.rs`. A kill drops it.
 //!
 //! The ordinary path is that of "AIMD Queue Server" (docs/design.md): a window of running txns, grown by
-//! ALPHA on demand while the p99 of run time over SLA time has headroom, cut by BETA above 1 or by the breaker.
+//! ALPHA on demand while the p99 of run time over SLA time has headroom, cut by BETA above 1 or by the
+//! breaker.
 
 use crate::host::Host;
 use crate::settings::Settings;
