--- a/src/brain.rs
+++ b/src/brain.rs
@@ -702,7 +702,7 @@
         let mut waiting: Vec<(i64, Duration, TxnId)> = Vec::new();
         for (id, t) in self.txns.iter().filter(|(_, t)| t.stage == Stage::AtCall && !t.answered) {
             // One that can't be in time any more has only its late value at stake.
-            let usual = self.run_time(now, t.product) + self.call_pace * 2.0;
+            let usual = self.run_time(now, t.product) * 0.5 + self.call_pace;
             let late = t.due.saturating_sub(now).as_secs_f64() < usual;
             let share = if late { self.products[t.product].late } else { 1.0 };
             waiting.push(((-self.stake(t.product) as f64 * share) as i64, t.due, *id));
