--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -335,14 +335,17 @@
         let repeats = entry.filter(|(_, _, until)| arrived <= *until).map(|(holder, _, _)| holder);
         let open = |id: &TxnId| self.world.0.borrow().txns.get(id).is_some_and(|t| t.ran || t.at == At::Held);
         let repeats = repeats.filter(open);
-        let expiry = now + left;
+        // Some come without their expiry; then the product's stands, from the arrival on.
+        let told = kb as u64 % 10 != 3;
+        let expiry = if told { now + left } else { arrived + MS * 3000 };
         let began = now;
         let seen = Seen { product, arrived, expiry, began, reference, repeats, kb, ..Seen::default() };
         self.world.0.borrow_mut().txns.insert(id, seen);
         let product = format!("p{product}");
         let read = Arrival {
             product,
-            expiry: Some(expiry),
+            expiry: told.then_some(expiry),
+            tenant: (rank < 0.5).then(|| "t0".to_string()),
             memory_kb: kb,
             rank,
             lay,
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -19,6 +19,9 @@
     cfg.set("family_info.fresh_for", Value::Num(if pick & 4096 != 0 { 0.0 } else { 500_000.0 }));
     cfg.set("family_info.worth_without.3", Value::Num(0.5));
     cfg.set("profiles.0.late_worth", Value::Num(0.2));
+    cfg.set("tenants.0.name", Value::Text("t0".into()));
+    cfg.set("tenants.0.quota_per_s", Value::Num(f64::from(pick % 5)));
+    cfg.set("family_info.below", text(&["none", "shared", "tier"], pick / 7));
     if pick & 8192 != 0 {
         let missing =
             ["family_info.calls_out", "rules.cold_from", "family_info.run_factor", "rules.warm_after"];
