--- a/src/brain.rs
+++ b/src/brain.rs
@@ -789,7 +789,7 @@
                     * (1.0 - self.level.min(1.0) / 2.0)
                     * f64::from(u8::from(self.healthy))
             }
-            Some("window") => self.window * CREDIT * done * each * (1.0 - self.turned).max(0.2),
+            Some("window") => self.window * CREDIT * done * each,
             _ => return,
         };
         let value = if value < 10.0 { (value * 20.0).round() / 20.0 } else { value.round() };
