--- a/src/brain.rs
+++ b/src/brain.rs
@@ -329,11 +329,8 @@
         } else {
             if how == Outcome::Overdue {
                 self.lingering += 1;
-                self.dues.insert((
-                    now + self.cfg.span("family_info.linger").unwrap_or_default(),
-                    Due::Linger,
-                    id,
-                ));
+                let until = now + self.cfg.span("family_info.linger").unwrap_or_default();
+                self.dues.insert((until, Due::Linger, id));
                 self.call_took(now, took.as_secs_f64().max(self.call_pace));
             }
             // Again only where the call provably never ran, or may run twice, and the time suffices.
@@ -400,7 +397,6 @@
 
     // ---- the window ----
 
-    /// One evaluation of the window.
     fn evaluate(&mut self, now: Duration) {
         self.evaluated = now;
         let longest = self.products.iter().map(|p| p.sla).max().unwrap_or(self.tick);
@@ -613,7 +609,8 @@
         let wait = Duration::from_secs_f64(held * (0.5 + self.chance()));
         let away = self.leaving.is_some() || (!self.healthy && self.warmth(now) >= 1.0);
         let back_in = if away { most } else { wait.min(most) };
-        self.log(now, "level", format!("declines at level {:.2}: the hold takes {held:.2} s", self.level));
+        let line = format!("declines at level {:.2}: the hold takes {held:.2} s", self.level);
+        self.log(now, "level", line);
         self.advertise(now);
         // A warm server that turns away most of what it reads is not alone: one more try would be in vain.
         self.turned += PACE_GAIN;
@@ -752,8 +749,6 @@
         txn.call_wait += now.saturating_sub(txn.call_since);
     }
 
-    // ---- the rest ----
-
     /// Everything whose time has come.
     fn run_dues(&mut self, now: Duration) {
         while let Some(&(at, what, id)) = self.dues.first().filter(|(at, _, _)| *at <= now) {
