Calls counted by their time-outs keep to the share; idle connections close but in a storm

A server with half a call as its share paced calls by what they had taken; when they slowed down each server had one in hand for over a second. A call given up with its txn was not counted either. Covers any hang or slow-down below; harm: with a share far under one call, calls wait that would have gone well.

Now the idle time doubles each evaluation in which reading and handshakes take a third of what wants a core, else falls by beta. Covers any storm of new callers; harm: few callers that come back are left alone, and a storm costs the tax of a full table.

An id read a second time is passed over (it could leave the hold with an id that has no txn).

--- a/crates/aldercrank-drill/src/lib.rs
+++ b/crates/aldercrank-drill/src/lib.rs
@@ -97,7 +97,7 @@
             for item in items {
                 self.event(i, now, item);
             }
-            let sent = self.instances.get_mut(&i).map(|s| std::mem::take(&mut s.brain.host().0));
+            let sent = self.instances.get_mut(&i).map(|s| std::mem::take(&mut s.brain.host.0));
             if let Some(actions) = sent.filter(|a| !a.is_empty()) {
                 replies.push(json!({"i": i, "actions": actions}));
             }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,9 +10,8 @@
 
 use crate::host::Host;
 use crate::settings::Settings;
-use crate::types::{Arrival, CallerId, Effect, Outcome, Product, TxnId};
-use std::collections::{BTreeMap, BTreeSet};
-use std::hash::{DefaultHasher, Hash, Hasher};
+use crate::types::{Arrival, CallerId, Chance, Effect, Outcome, Product, TxnId};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 // The mechanism. Spans are ratios to the SLA times that the settings give.
@@ -28,11 +27,9 @@
 // The level of value, by the time the hold takes to drain over the slack that txns have.
 const LEVEL_FROM: f64 = 0.3;
 const LEVEL_TO: f64 = 0.8;
-const HOPELESS: f64 = 1.0; // of a usual run: less time than that before the SLA time is not worth a start
-const SURER: f64 = 2.0; // usual runs more than that, under a full level
+const SURER: f64 = 2.0; // usual runs that a start needs before its SLA time, beside one, under a full level
 const PACE_GAIN: f64 = 0.1;
 const TURNED_MOST: f64 = 0.5; // of what is read
-const PACE_FORGOTTEN: f64 = 0.2; // an evaluation
 const PACE_AT_FIRST: f64 = 0.25; // of the SLA time, until a run has ended
 
 // Guards, as shares of the limits that the settings give.
@@ -44,8 +41,11 @@
 const CALLS_HURT: f64 = 0.15; // of the shortest SLA time
 const CALLS_LEAST: f64 = 0.35; // of this server's share
 const CALLS_STEP: f64 = 0.1;
-const CALLS_KNOWN: u32 = 20; // calls until their usual time is known
+const CALLS_KNOWN: f64 = 20.0; // calls until their usual time is known
 const CREDIT: f64 = 0.45; // txns out with us in all: what the window gets done in this share of an SLA time
+const STORM: f64 = 0.33; // reading and new connections, of all that wants a core
+const IDLE_LEAST: f64 = 0.03; // of the time that callers keep an idle connection
+const HEARD: usize = 64; // txns whose callers are compared
 const QUIET_LOG: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -91,15 +91,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Expiry,
-    Linger,
     Key,
 }
 
 pub struct Brain<H: Host> {
-    host: H,
+    pub host: H,
     cfg: Settings,
-    /// The seed, and how often chance was asked.
-    chance: (u64, u64),
+    chance: Chance,
     products: Vec<Product>,
     cores: f64,
     tick: Duration,
@@ -107,16 +105,20 @@
     hold: BTreeSet<(Duration, TxnId)>,
     kept: BTreeMap<TxnId, Kept>,
     dues: BTreeSet<(Duration, Due, TxnId)>,
-    lingering: usize,
     window: f64,
-    latencies: Vec<(Duration, f64)>,
+    latencies: Vec<(Duration, usize, f64)>,
     pressure: bool,
     evaluated: Duration,
     /// Seconds on the cores that a run of each product takes once warm, and its share of what is read.
     pace: Vec<f64>,
     seen: Vec<f64>,
-    paced: Vec<bool>,
-    callers: BTreeMap<CallerId, f64>,
+    /// Who sent the last txns read, and how often two of them came from one caller.
+    heard: VecDeque<CallerId>,
+    same: f64,
+    /// What wants a core and is no run: reading, new connections.
+    reading: f64,
+    /// How long connections may stay idle.
+    idle: Duration,
     /// Seconds that txns lie unread, of late.
     unread: f64,
     /// The share of what is read that is turned away, of late.
@@ -124,16 +126,14 @@
     /// The share of running txns that are on a core.
     on_core: f64,
     healthy: bool,
-    /// Which products the level weighs first.
-    shed_first: Vec<bool>,
     level: f64,
+    /// Each call of late: when it was made, and until when it may stay below.
+    calls: Vec<(TxnId, Duration, Duration)>,
     /// Calls at once, under 1: a share of the time; seconds a call takes of late, and when all is well.
     calls_window: f64,
     call_pace: f64,
     call_base: f64,
-    calls_cut: Duration,
-    calls_seen: u32,
-    called: Duration,
+    calls_seen: f64,
     quotas: BTreeMap<String, (f64, Duration)>,
     /// When the notice to leave came, and when the process is stopped.
     leaving: Option<(Duration, Duration)>,
@@ -180,37 +180,36 @@
         Brain {
             host,
             cfg,
-            chance: (seed, 0),
+            chance: Chance::new(seed),
             cores,
             tick,
             txns: BTreeMap::new(),
             hold: BTreeSet::new(),
             kept: BTreeMap::new(),
             dues: BTreeSet::new(),
-            lingering: 0,
             window: cores,
             latencies: Vec::new(),
             pressure: false,
             evaluated: now,
             pace,
             seen: vec![1.0; products.len()],
-            paced: vec![false; products.len()],
-            callers: BTreeMap::new(),
+            heard: VecDeque::new(),
+            same: 0.0,
+            reading: 0.0,
+            idle: Duration::from_secs(1),
             unread: 0.0,
             turned: 0.0,
             on_core: 1.0,
             healthy: true,
-            shed_first: vec![true; products.len()],
             level: 0.0,
+            calls: Vec::new(),
             calls_window,
             call_pace: 0.0,
             call_base: f64::MAX,
-            calls_cut: now,
-            calls_seen: 0,
-            called: now,
+            calls_seen: 0.0,
             quotas: BTreeMap::new(),
             leaving: None,
-            advertised: f64::NAN,
+            advertised: -1.0,
             logged: BTreeMap::new(),
             products,
         }
@@ -219,6 +218,10 @@
     /// A txn has been read and is now in the hold.
     pub fn txn_read(&mut self, now: Duration, id: TxnId, read: &Arrival) {
         self.run_dues(now);
+        // An id comes once; a second time it would stand for two txns.
+        if self.txns.contains_key(&id) || self.kept.contains_key(&id) {
+            return;
+        }
         let arrived = now.saturating_sub(read.lay);
         self.turned *= 1.0 - PACE_GAIN;
         self.unread += PACE_GAIN * (read.lay.as_secs_f64() - self.unread);
@@ -230,8 +233,10 @@
         expiry = expiry.min(self.leaving.map_or(expiry, |(_, stop)| stop));
         self.seen.iter_mut().for_each(|s| *s *= 0.995);
         self.seen[product] += 1.0;
-        self.callers.values_mut().for_each(|c| *c *= 0.995);
-        *self.callers.entry(read.caller).or_default() += 1.0;
+        let same = self.heard.iter().filter(|c| **c == read.caller).count() as f64;
+        self.same += (same / self.heard.len().max(1) as f64 - self.same) / (self.heard.len() + 1) as f64;
+        self.heard.push_front(read.caller);
+        self.heard.truncate(HEARD);
         let due = (arrived + p.sla).min(expiry);
         let worth = self.worth(now, product, read);
         let txn = Txn { product, arrived, due, expiry, kb: read.memory_kb.max(0.0), worth, ..Txn::default() };
@@ -242,8 +247,8 @@
             first = Some(heir);
         }
         let first = first.filter(|r| self.kept.contains_key(r) || self.txns.contains_key(r));
-        let held = |t: &Txn| t.stage == Stage::Held && p.effect == Effect::Referenced;
-        let held = first.and_then(|f| self.txns.get(&f)).is_some_and(held);
+        let takes = |t: &Txn| t.stage == Stage::Held && p.effect == Effect::Referenced;
+        let held = first.and_then(|f| self.txns.get(&f)).is_some_and(takes);
         self.txns.insert(id, txn);
         self.dues.insert((expiry.saturating_sub(self.tick), Due::Expiry, id));
         if expiry <= now + self.tick {
@@ -264,8 +269,10 @@
             None => self.weigh(now),
         }
         self.hold.insert((due, id));
-        let under = first.is_none() && worth < self.level;
-        if under || self.too_late(arrived) || self.memory(0.0) > MEMORY_SHARE {
+        if (first.is_none() && worth < self.level)
+            || self.too_late(arrived)
+            || self.memory(0.0) > MEMORY_SHARE
+        {
             return self.turn_away(now, id);
         }
         if p.effect == Effect::Referenced || self.cfg.num("family_info.fresh_for").unwrap_or(0.0) > 0.0 {
@@ -284,9 +291,10 @@
         let runnable = (0..gauges.len()).find(named).map(|i| gauges[i]);
         // Runs that wait for a disk are on no core; the ceiling is for those that are.
         let runs = self.count(|t| t.stage == Stage::Running) as f64;
-        if let Some(runnable) = runnable.filter(|_| runs > 0.0) {
-            self.on_core += PACE_GAIN * ((runnable / runs).min(1.0) - self.on_core);
-        }
+        let on_core = runnable.filter(|_| runs > 0.0).map_or(self.on_core, |r| (r / runs).min(1.0));
+        self.on_core += PACE_GAIN * (on_core - self.on_core);
+        let reading = (runnable.unwrap_or(0.0) - runs * self.on_core).max(0.0);
+        self.reading += PACE_GAIN * (reading - self.reading);
         if runnable.is_some_and(|r| r < self.cores) && !self.hold.is_empty() {
             self.window = (self.window + self.hold.len() as f64).min(self.ceiling(now));
         }
@@ -295,8 +303,7 @@
         }
         self.weigh(now);
         self.prune(now);
-        self.fill(now);
-        self.make_calls(now);
+        self.proceed(now);
         // Unfit while txns lie unread for longer than the SLA time, whatever slows the reading.
         let healthy = self.unread < self.shortest();
         if self.leaving.is_none() && std::mem::replace(&mut self.healthy, healthy) != healthy {
@@ -312,8 +319,7 @@
         if let Some(txn) = self.txns.get_mut(&id).filter(|t| t.stage == Stage::Running && !t.answered) {
             txn.stage = Stage::AtCall;
             txn.call_since = now;
-            self.make_calls(now);
-            self.fill(now);
+            self.proceed(now);
         }
     }
 
@@ -322,17 +328,21 @@
         let calling = |t: &&mut Txn| t.stage == Stage::Calling && !t.answered;
         let Some(txn) = self.txns.get_mut(&id).filter(calling) else { return };
         txn.stage = Stage::AtCall;
+        self.call_over(now, id, how != Outcome::Overdue);
+        let txn = &self.txns[&id];
         let (effect, without) = (self.products[txn.product].effect, self.products[txn.product].without);
+        if matches!(how, Outcome::Completed | Outcome::Overdue) {
+            self.calls_seen += 1.0;
+            let least = if how == Outcome::Completed { 0.0 } else { self.call_pace };
+            let more = took.as_secs_f64().max(least) - self.call_pace;
+            self.call_pace += PACE_GAIN.max(1.0 / self.calls_seen) * more;
+            if self.calls_seen >= CALLS_KNOWN {
+                self.call_base = self.call_base.min(self.call_pace) * 1.001;
+            }
+        }
         if how == Outcome::Completed {
             self.resume(now, id);
-            self.call_took(now, took.as_secs_f64());
         } else {
-            if how == Outcome::Overdue {
-                self.lingering += 1;
-                let until = now + self.cfg.span("family_info.linger").unwrap_or_default();
-                self.dues.insert((until, Due::Linger, id));
-                self.call_took(now, took.as_secs_f64().max(self.call_pace));
-            }
             // Again only where the call provably never ran, or may run twice, and the time suffices.
             let again = how.never_ran() || (effect == Effect::InquiryLike && how != Outcome::Overdue);
             if without > 0.0 && (!again || self.txns[&id].calls > 1) {
@@ -344,11 +354,11 @@
                 self.void(id);
             }
         }
-        self.make_calls(now);
-        self.fill(now);
+        self.proceed(now);
     }
 
     pub fn run_ended(&mut self, now: Duration, id: TxnId, how: Outcome, took: Duration) {
+        self.call_over(now, id, false);
         if let Some(txn) = self.remove(id) {
             if how == Outcome::Completed && txn.stage != Stage::Joined {
                 let ran = took.saturating_sub(txn.call_wait).as_secs_f64();
@@ -356,8 +366,7 @@
                 let ratio = ran / sla;
                 let warm = (ran * self.speed(txn.started)).min(sla);
                 self.pace[txn.product] += PACE_GAIN * (warm - self.pace[txn.product]);
-                self.paced[txn.product] = true;
-                self.latencies.push((now, ratio));
+                self.latencies.push((now, txn.product, ratio));
                 // The fast circuit breaker.
                 if ratio > FAST_DECREASE_MULTIPLIER {
                     self.window = (self.window * BETA).max(self.cores);
@@ -367,11 +376,9 @@
             }
         }
         self.run_dues(now);
-        self.make_calls(now);
-        self.fill(now);
+        self.proceed(now);
     }
 
-    /// Nobody waits for this txn any longer.
     pub fn caller_gone(&mut self, now: Duration, id: TxnId) {
         self.run_dues(now);
         self.unwanted(id);
@@ -391,17 +398,13 @@
         self.run_dues(now);
     }
 
-    pub fn host(&mut self) -> &mut H {
-        &mut self.host
-    }
-
     // ---- the window ----
 
     fn evaluate(&mut self, now: Duration) {
-        self.evaluated = now;
+        let since = std::mem::replace(&mut self.evaluated, now);
         let longest = self.products.iter().map(|p| p.sla).max().unwrap_or(self.tick);
-        self.latencies.retain(|(at, _)| *at + longest.mul_f64(SLIDING) >= now);
-        let mut ratios: Vec<f64> = self.latencies.iter().map(|(_, r)| *r).collect();
+        self.latencies.retain(|(at, _, _)| *at + longest.mul_f64(SLIDING) >= now);
+        let mut ratios: Vec<f64> = self.latencies.iter().map(|(_, _, r)| *r).collect();
         ratios.sort_by(f64::total_cmp);
         let p99 = *ratios.get(ratios.len() * 99 / 100).unwrap_or(&0.0);
         if p99 > 1.0 {
@@ -416,15 +419,32 @@
         // learnt, would have it turned away for ever.
         for i in 0..self.products.len() {
             let first = self.products[i].sla.as_secs_f64() * PACE_AT_FIRST;
-            if !std::mem::take(&mut self.paced[i]) && self.pace[i] > first {
-                self.pace[i] += PACE_FORGOTTEN * (first - self.pace[i]);
+            let learnt = self.latencies.iter().any(|(at, product, _)| *product == i && *at > since);
+            if !learnt && self.pace[i] > first {
+                self.pace[i] += 0.2 * (first - self.pace[i]);
             }
         }
-        if !self.calls_slow() {
-            let share = self.calls_share();
+        let share = self.calls_share();
+        if self.calls_slow() {
+            self.calls_window = (self.calls_window * BETA).max(share * CALLS_LEAST);
+            self.log(
+                now,
+                "calls",
+                format!("calls take {:.2} s, window {:.2}", self.call_pace, self.calls_window),
+            );
+        } else {
             self.calls_window = (self.calls_window + share * CALLS_STEP).min(share * CALLS_SHARE);
         }
-        self.choose_shed();
+        // Idle connections of callers that seldom come back give way to new ones: a full table takes cores and
+        // has others find no room. In a storm of tries it is still the cheapest way to turn callers away.
+        if let Some(most) = self.cfg.span("family_info.idle") {
+            let storm = self.reading > STORM * (self.reading + self.cores);
+            let rate = self.window / self.usual(|i| self.run_time(now, i)).max(1e-3);
+            let back = 1.0 - (-rate * most.as_secs_f64() / self.callers()).exp();
+            let least = most.mul_f64(IDLE_LEAST.max(back * back));
+            self.idle = self.idle.mul_f64(if storm { 2.0 } else { BETA }).clamp(least, most.max(least));
+            self.host.close_idle(self.idle);
+        }
     }
 
     /// The most that the window may be: the cold figure a core after a cold start, rising to the warm one.
@@ -441,6 +461,11 @@
         after.map_or(1.0, |after| now.div_duration_f64(after).min(1.0))
     }
 
+    fn proceed(&mut self, now: Duration) {
+        self.make_calls(now);
+        self.fill(now);
+    }
+
     /// Starts held txns by due time while the window has room.
     fn fill(&mut self, now: Duration) {
         while let Some(&(_, id)) = self.hold.first() {
@@ -463,7 +488,7 @@
         }
         // Calls return to the cores on their own, so they count for the crowd.
         let crowd = self.count(|t| !matches!(t.stage, Stage::Held | Stage::Joined)) as f64 + 1.0;
-        let memory = self.memory(txn.kb * (self.run_factor() - 1.0));
+        let memory = self.memory(txn.kb);
         let multiple = self.cfg.num("rules.fall_multiple").unwrap_or(2.0).max(1.0);
         let survives = self.cores * (1.0 + (multiple - 1.0) * self.speed(now));
         if crowd > (CROWD_SHARE * survives).max(self.cores) || memory > MEMORY_SHARE {
@@ -486,18 +511,14 @@
         self.pace[product] / self.speed(now)
     }
 
-    fn run_factor(&self) -> f64 {
-        self.cfg.num("family_info.run_factor").unwrap_or(8.0).max(1.0)
-    }
-
-    /// Memory in use, as a share of what there is.
-    fn memory(&self, more: f64) -> f64 {
-        let factor = self.run_factor();
+    /// Memory in use once a held txn of this size is started, as a share of what there is.
+    fn memory(&self, started: f64) -> f64 {
+        let factor = self.cfg.num("family_info.run_factor").unwrap_or(8.0).max(1.0);
         let of = |t: &Txn| t.kb * if matches!(t.stage, Stage::Held | Stage::Joined) { 1.0 } else { factor };
         let keys = self.kept.values().filter(|k| k.live).count() as f64;
         let key_kb = self.cfg.num("family_info.key_kb").unwrap_or(0.0);
         let limit = self.cfg.num("family_info.memory_kb").unwrap_or(f64::MAX);
-        (self.txns.values().map(of).sum::<f64>() + keys * key_kb + more) / limit
+        (self.txns.values().map(of).sum::<f64>() + keys * key_kb + started * (factor - 1.0)) / limit
     }
 
     /// Whether it arrived too late to be run by a server that is leaving.
@@ -516,7 +537,8 @@
     /// the user's place within the product, so that a level cuts the same users everywhere.
     fn worth(&mut self, now: Duration, product: usize, read: &Arrival) -> f64 {
         let place = (read.rank.clamp(0.0, 1.0) * self.products.len() as f64).fract();
-        let worth = place + if self.shed_first[product] { 0.0 } else { 1.0 };
+        let gain = self.products[product].value * self.usual(|i| self.pace[i]) / self.pace[product].max(1e-9);
+        let worth = place + f64::from(u32::from(gain >= self.usual(|i| self.products[i].value)));
         let Some(tenant) = &read.tenant else { return worth };
         // What a tenant sends beyond its share is worth little: this server's part of its quota is a bucket.
         let mut names = (0..).map_while(|i| self.cfg.text(&format!("tenants.{i}.name")));
@@ -533,28 +555,6 @@
         worth
     }
 
-    /// Which products lose first, evenly, when not all can be run: the cheapest by value for each second on
-    /// the cores, as many as cost the goal least; its weight on the worst-served product speaks for more.
-    fn choose_shed(&mut self) {
-        let mut order: Vec<usize> = (0..self.products.len()).collect();
-        let gain = |i: usize| self.products[i].value / self.pace[i].max(1e-9);
-        order.sort_by(|a, b| gain(*a).total_cmp(&gain(*b)));
-        let value: f64 = order.iter().map(|i| self.seen[*i] * self.products[*i].value).sum();
-        let work: f64 = order.iter().map(|i| self.seen[*i] * self.pace[*i]).sum();
-        let mix = |name: &str| self.cfg.num(&format!("objective_mix.{name}")).unwrap_or(0.0);
-        let (whole, worst) = (mix("whole") + mix("worst_window"), mix("worst_class"));
-        let (mut lost, mut freed, mut best) = (0.0, 0.0, f64::MAX);
-        for (n, i) in order.iter().enumerate() {
-            lost += self.seen[*i] * self.products[*i].value;
-            freed += self.seen[*i] * self.pace[*i];
-            let price = (whole * lost / value + worst) / (freed / work).max(1e-9);
-            if price < best {
-                best = price;
-                order.iter().enumerate().for_each(|(m, i)| self.shed_first[*i] = m <= n);
-            }
-        }
-    }
-
     /// Seconds until what is held now has been started.
     fn wait(&self, now: Duration) -> f64 {
         self.hold.iter().map(|(_, id)| self.run_time(now, self.txns[id].product)).sum::<f64>() / self.window
@@ -578,7 +578,7 @@
     fn prune(&mut self, now: Duration) {
         let mut ahead: Vec<(f64, TxnId, f64)> = Vec::new();
         let mut wait = 0.0;
-        let sure = HOPELESS + SURER * self.level.min(1.0);
+        let sure = 1.0 + SURER * self.level.min(1.0);
         for (_, id) in self.hold.clone() {
             let Some(txn) = self.txns.get(&id) else { continue };
             let run = self.run_time(now, txn.product);
@@ -606,11 +606,10 @@
         let heard = self.cfg.flag("limits.retry_after") == Some(true);
         let most = self.cfg.span("limits.max_retry_after").filter(|_| heard).unwrap_or_default();
         let held = self.wait(now);
-        let wait = Duration::from_secs_f64(held * (0.5 + self.chance()));
+        let wait = Duration::from_secs_f64(held * (0.5 + self.chance.draw()));
         let away = self.leaving.is_some() || (!self.healthy && self.warmth(now) >= 1.0);
         let back_in = if away { most } else { wait.min(most) };
-        let line = format!("declines at level {:.2}: the hold takes {held:.2} s", self.level);
-        self.log(now, "level", line);
+        self.log(now, "level", format!("declines at level {:.2}: the hold takes {held:.2} s", self.level));
         self.advertise(now);
         // A warm server that turns away most of what it reads is not alone: one more try would be in vain.
         self.turned += PACE_GAIN;
@@ -656,29 +655,31 @@
         let fresh = self.cfg.span("family_info.fresh_for").unwrap_or_default();
         let window = if p.effect == Effect::Referenced { p.window } else { fresh };
         let span = (arrived + window + self.tick * 2).saturating_sub(now);
-        if p.effect == Effect::OnceOnly || span.is_zero() {
-            return;
+        if p.effect != Effect::OnceOnly && !span.is_zero() {
+            self.host.keep(id, span);
+            self.kept.insert(id, Kept { until: now + span, live: true, heir: None });
+            self.dues.insert((now + span, Due::Key, id));
         }
-        self.host.keep(id, span);
-        self.kept.insert(id, Kept { until: now + span, live: true, heir: None });
-        self.dues.insert((now + span, Due::Key, id));
     }
 
     // ---- calls ----
 
-    /// The calls' own window, cut once a call's time when they slow down.
-    fn call_took(&mut self, now: Duration, took: f64) {
-        self.calls_seen += 1;
-        self.call_pace += PACE_GAIN.max(1.0 / f64::from(self.calls_seen)) * (took - self.call_pace);
-        if self.calls_seen >= CALLS_KNOWN {
-            self.call_base = self.call_base.min(self.call_pace) * 1.001;
-        }
-        if self.calls_slow() && now.saturating_sub(self.calls_cut).as_secs_f64() > self.call_pace {
-            self.calls_cut = now;
-            self.calls_window = (self.calls_window * BETA).max(self.calls_share() * CALLS_LEAST);
-            let line = format!("calls take {:.2} s: {:.2} at once", self.call_pace, self.calls_window);
-            self.log(now, "calls", line);
-        }
+    /// A call is over, here at least: one given up, whatever for, lingers below.
+    fn call_over(&mut self, now: Duration, id: TxnId, gone: bool) {
+        let linger = self.cfg.span("family_info.linger").filter(|_| !gone).unwrap_or_default();
+        let open = |call: &&mut (TxnId, Duration, Duration)| call.0 == id && call.2 >= now;
+        self.calls.iter_mut().filter(open).for_each(|call| call.2 = now + linger);
+    }
+
+    /// The longest that one more call may take: the calls of the last `calls_over`, each counted up to its
+    /// time-out, stay within this server's share, however slow what lies below becomes.
+    fn call_room(&mut self, now: Duration) -> Duration {
+        let over = self.cfg.span("family_info.calls_over").unwrap_or(Duration::from_secs(5));
+        let since = now.saturating_sub(over);
+        self.calls.retain(|(_, _, until)| *until > since);
+        let taken: Duration = self.calls.iter().map(|(_, made, until)| *until - (*made).max(since)).sum();
+        let most = (self.calls_share() * CALLS_SHARE).min(1e6);
+        over.mul_f64(most).saturating_sub(taken)
     }
 
     /// Whether calls take much longer than at best, and long enough to matter for the SLA times.
@@ -706,14 +707,15 @@
         for (id, t) in self.txns.iter().filter(|(_, t)| t.stage == Stage::AtCall && !t.answered) {
             // One that can't be in time any more has only its late value at stake.
             let usual = self.run_time(now, t.product) * 0.5 + self.call_pace;
-            let late = t.due.saturating_sub(now).as_secs_f64() < usual;
-            let share = if late { self.products[t.product].late } else { 1.0 };
+            let in_time = t.due.saturating_sub(now).as_secs_f64() >= usual;
+            let share = if in_time { 1.0 } else { self.products[t.product].late };
             waiting.push(((-self.stake(t.product) as f64 * share) as i64, t.due, *id));
         }
         waiting.sort();
-        let (mut ahead, mut out) = (0.0, (self.count(|t| t.stage == Stage::Calling) + self.lingering) as f64);
+        let mut longest = self.call_room(now);
+        let (mut ahead, mut out) = (0.0, self.calls.iter().filter(|c| c.2 > now).count() as f64);
         let calls = |i: &usize| self.cfg.flag(&format!("family_info.class_calls.{i}")) != Some(false);
-        let most = (0..self.products.len()).filter(calls).map(|i| self.stake(i)).max().unwrap_or(0);
+        let dearest = (0..self.products.len()).filter(calls).map(|i| self.stake(i)).max().unwrap_or(0);
         for (stake, _, id) in waiting {
             let txn = &self.txns[&id];
             let p = &self.products[txn.product];
@@ -721,28 +723,31 @@
             let to_due = txn.due.saturating_sub(now + rest);
             let to_expiry = txn.expiry.saturating_sub(now + rest + self.tick);
             let gap = self.call_pace / self.calls_window;
-            let paced = out == 0.0 && now.saturating_sub(self.called).as_secs_f64() >= gap;
-            let room = (out + 1.0 <= self.calls_window || paced) && now >= txn.redial;
+            let last = self.calls.last().map_or(f64::MAX, |c| now.saturating_sub(c.1).as_secs_f64());
+            let paced = out == 0.0 && last >= gap;
+            let fits = longest.as_secs_f64() > self.call_pace || self.calls.is_empty();
+            let room = fits && (out + 1.0 <= self.calls_window || paced) && now >= txn.redial;
             let wait = if room { self.call_pace } else { (ahead + 1.0) * gap + self.call_pace };
             let futile = wait > to_due.as_secs_f64() * 0.5 && (!to_due.is_zero() || p.late <= 0.0 || !room);
-            if p.without > 0.0 && (futile || (-stake < most && self.calls_slow())) {
+            if p.without > 0.0 && (futile || (-stake < dearest && self.calls_slow())) {
                 self.resume(now, id);
                 self.host.skip_call(id);
             } else if room {
-                let give_up = if p.without > 0.0 && to_due > self.tick { to_due } else { to_expiry };
-                self.called = now;
+                let left = if p.without > 0.0 && to_due > self.tick { to_due } else { to_expiry };
+                let give_up = left.max(self.tick).min(longest);
                 out += 1.0;
+                self.calls.push((id, now, now + give_up));
+                longest = longest.saturating_sub(give_up);
                 let txn = self.txns.get_mut(&id).expect("listed above");
                 txn.stage = Stage::Calling;
                 txn.calls += 1;
-                self.host.call(id, give_up.max(self.tick));
+                self.host.call(id, give_up);
             } else {
                 ahead += 1.0;
             }
         }
     }
 
-    /// Back on the cores from a call.
     fn resume(&mut self, now: Duration, id: TxnId) {
         let Some(txn) = self.txns.get_mut(&id) else { return };
         txn.stage = Stage::Running;
@@ -759,7 +764,6 @@
                     Some((_, false)) => self.void(id),
                     _ => {}
                 },
-                Due::Linger => self.lingering = self.lingering.saturating_sub(1),
                 Due::Key => {
                     // The id outlives its entry by a window: a repeat may be read long after it came.
                     let Some(kept) = self.kept.get_mut(&id).filter(|k| k.until <= now) else { continue };
@@ -790,23 +794,17 @@
         }
     }
 
+    fn callers(&self) -> f64 {
+        self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0)
+    }
+
     /// Txns that each caller may have out with us: the same for all, by how evenly they send.
     fn credit(&self, now: Duration) -> f64 {
-        let sent: f64 = self.callers.values().sum();
-        let even = 1.0 / self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0);
-        let each = self.callers.values().map(|c| (c / sent).powi(2)).sum::<f64>().max(even);
+        let each = self.same.max(1.0 / self.callers());
         let stay = |i: usize| (self.run_time(now, i) + self.unread).max(1e-3);
         self.window * CREDIT * self.usual(|i| self.products[i].sla.as_secs_f64() / stay(i)) * each
     }
 
-    /// From 0 to 1, by the seed and a counter.
-    fn chance(&mut self) -> f64 {
-        let mut hasher = DefaultHasher::new();
-        self.chance.hash(&mut hasher);
-        self.chance.1 += 1;
-        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     /// One line of a kind now and then.
     fn log(&mut self, now: Duration, kind: &'static str, line: String) {
         if self.logged.get(kind).is_none_or(|at| now.saturating_sub(*at) >= QUIET_LOG) {
