A later try's age shows in what it still waits; past its SLA time it is told to try nowhere else

SLA times run from a client's first try, the module counted from the arrival. Most tries still wait one usual part of the product's whole time (three tenths, half ...); a later try has what is left of the whole, so its age shows. A wait is usual where 15 in 100 of the last 100 txns, or the same caller, had it. Due time follows the age; what is late already is declined, with last, unless its late answer earns as much as the cheapest product in time. Told from slow runs by: run times usual, age by what was still waited. Covers storms of tries whatever starts them; harm: a caller with a wait of its own, seen for the first time, is taken for late.

--- a/crates/aldercrank-drill/src/lib.rs
+++ b/crates/aldercrank-drill/src/lib.rs
@@ -112,8 +112,7 @@
             if let Some(env) = item.get("env") {
                 flatten("", env, &mut settings);
             }
-            let salt = item.get("salt").and_then(Json::as_u64).unwrap_or_default();
-            let brain = Brain::start(settings, salt, Duration::ZERO, Outbox::default());
+            let brain = Brain::start(settings, Duration::ZERO, Outbox::default());
             self.instances.insert(i, Instance { brain, zero: clock });
             return;
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,6 +1,6 @@
 //! The decision module: what this server takes, runs and turns away.
 //!
-//! How it is called: `Brain::start` gets the settings, a seed and a `Host`; afterwards one method is called
+//! How it is called: `Brain::start` gets the settings, the time and a `Host`; afterwards one method is called
 //! for each thing that happens, with the time since start: `txn_read`, `woken` (the one timer), `drain`,
 //! `call_needed`, `call_ended`, `run_ended`, `caller_gone`. It acts only by calling the host, at once, and
 //! returns nothing. The interface stands in `host.rs`, ids and products in `types.rs`. A kill drops it.
@@ -10,7 +10,7 @@
 
 use crate::host::Host;
 use crate::settings::Settings;
-use crate::types::{Arrival, CallerId, Chance, Effect, Outcome, Product, TxnId};
+use crate::types::{Arrival, CallerId, Effect, Outcome, Product, TxnId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -43,9 +43,11 @@
 const CALLS_STEP: f64 = 0.1;
 const CALLS_KNOWN: f64 = 20.0; // calls until their usual time is known
 const CREDIT: f64 = 0.45; // txns out with us in all: what the window gets done in this share of an SLA time
-const STORM: f64 = 0.33; // reading and new connections, of all that wants a core
+const STORM: f64 = 0.33; // reading and new connections, of what wants a core
 const IDLE_LEAST: f64 = 0.03; // of the time that callers keep an idle connection
-const HEARD: usize = 64; // txns whose callers are compared
+const HEARD: usize = 100; // txns whose callers and waits are compared
+const WAITS: f64 = 50.0; // parts that a product's whole time is told apart in
+const USUAL: f64 = 0.15; // of those heard
 const QUIET_LOG: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -97,7 +99,6 @@
 pub struct Brain<H: Host> {
     pub host: H,
     cfg: Settings,
-    chance: Chance,
     products: Vec<Product>,
     cores: f64,
     tick: Duration,
@@ -112,8 +113,8 @@
     /// Seconds on the cores that a run of each product takes once warm, and its share of what is read.
     pace: Vec<f64>,
     seen: Vec<f64>,
-    /// Who sent the last txns read, and how often two of them came from one caller.
-    heard: VecDeque<CallerId>,
+    /// Who sent the last txns read and would wait how long, and how often two of them came from one caller.
+    heard: VecDeque<(CallerId, usize)>,
     same: f64,
     /// What wants a core and is no run: reading, new connections.
     reading: f64,
@@ -123,7 +124,7 @@
     unread: f64,
     /// The share of what is read that is turned away, of late.
     turned: f64,
-    /// The share of running txns that are on a core.
+    /// The share of running txns that are on a core, not at a disk: the ceiling is for those.
     on_core: f64,
     healthy: bool,
     level: f64,
@@ -142,20 +143,15 @@
 }
 
 impl<H: Host> Brain<H> {
-    pub fn start(cfg: Settings, seed: u64, now: Duration, mut host: H) -> Self {
+    pub fn start(cfg: Settings, now: Duration, mut host: H) -> Self {
         let mut products = Vec::new();
         while let Some(name) = cfg.text(&format!("profiles.{}.name", products.len())) {
             let i = products.len();
             let key = |field: &str| format!("profiles.{i}.{field}");
             let expiry = cfg.span(&key("give_up")).unwrap_or(Duration::from_secs(5));
-            let effect = match cfg.text(&key("effect")) {
-                Some("retryable") => Effect::InquiryLike,
-                Some("dedup") => Effect::Referenced,
-                _ => Effect::OnceOnly,
-            };
             products.push(Product {
                 name: name.to_string(),
-                effect,
+                effect: Effect::named(cfg.text(&key("effect")).unwrap_or_default()),
                 sla: cfg.span(&key("goal_time")).filter(|s| !s.is_zero()).unwrap_or(expiry / 2),
                 expiry,
                 value: cfg.num(&key("points")).unwrap_or(1.0),
@@ -180,7 +176,6 @@
         Brain {
             host,
             cfg,
-            chance: Chance::new(seed),
             cores,
             tick,
             txns: BTreeMap::new(),
@@ -233,11 +228,8 @@
         expiry = expiry.min(self.leaving.map_or(expiry, |(_, stop)| stop));
         self.seen.iter_mut().for_each(|s| *s *= 0.995);
         self.seen[product] += 1.0;
-        let same = self.heard.iter().filter(|c| **c == read.caller).count() as f64;
-        self.same += (same / self.heard.len().max(1) as f64 - self.same) / (self.heard.len() + 1) as f64;
-        self.heard.push_front(read.caller);
-        self.heard.truncate(HEARD);
-        let due = (arrived + p.sla).min(expiry);
+        let age = self.age(read, arrived, &p);
+        let due = (arrived + p.sla.saturating_sub(age)).min(expiry);
         let worth = self.worth(now, product, read);
         let txn = Txn { product, arrived, due, expiry, kb: read.memory_kb.max(0.0), worth, ..Txn::default() };
         // A repeat never runs beside what it repeats: it takes the place of one still held, and is answered
@@ -269,15 +261,11 @@
             None => self.weigh(now),
         }
         self.hold.insert((due, id));
-        if (first.is_none() && worth < self.level)
-            || self.too_late(arrived)
-            || self.memory(0.0) > MEMORY_SHARE
-        {
+        let under = first.is_none() && worth < self.level;
+        if under || self.too_late(arrived) || self.memory(0.0) > MEMORY_SHARE {
             return self.turn_away(now, id);
         }
-        if p.effect == Effect::Referenced || self.cfg.num("family_info.fresh_for").unwrap_or(0.0) > 0.0 {
-            self.keep(now, id, arrived, &p);
-        }
+        self.keep(now, id, arrived, &p);
         self.prune(now);
         self.fill(now);
     }
@@ -289,7 +277,6 @@
         // Idle-core growth: cores idle while work waits, so the window grows by the number held.
         let named = |i: &usize| self.cfg.text(&format!("family_info.meters.{i}")) == Some("runnable");
         let runnable = (0..gauges.len()).find(named).map(|i| gauges[i]);
-        // Runs that wait for a disk are on no core; the ceiling is for those that are.
         let runs = self.count(|t| t.stage == Stage::Running) as f64;
         let on_core = runnable.filter(|_| runs > 0.0).map_or(self.on_core, |r| (r / runs).min(1.0));
         self.on_core += PACE_GAIN * (on_core - self.on_core);
@@ -303,7 +290,7 @@
         }
         self.weigh(now);
         self.prune(now);
-        self.proceed(now);
+        self.go_on(now);
         // Unfit while txns lie unread for longer than the SLA time, whatever slows the reading.
         let healthy = self.unread < self.shortest();
         if self.leaving.is_none() && std::mem::replace(&mut self.healthy, healthy) != healthy {
@@ -319,7 +306,7 @@
         if let Some(txn) = self.txns.get_mut(&id).filter(|t| t.stage == Stage::Running && !t.answered) {
             txn.stage = Stage::AtCall;
             txn.call_since = now;
-            self.proceed(now);
+            self.go_on(now);
         }
     }
 
@@ -354,29 +341,31 @@
                 self.void(id);
             }
         }
-        self.proceed(now);
+        self.go_on(now);
     }
 
     pub fn run_ended(&mut self, now: Duration, id: TxnId, how: Outcome, took: Duration) {
         self.call_over(now, id, false);
-        if let Some(txn) = self.remove(id) {
-            if how == Outcome::Completed && txn.stage != Stage::Joined {
-                let ran = took.saturating_sub(txn.call_wait).as_secs_f64();
-                let sla = self.products[txn.product].sla.as_secs_f64();
-                let ratio = ran / sla;
-                let warm = (ran * self.speed(txn.started)).min(sla);
-                self.pace[txn.product] += PACE_GAIN * (warm - self.pace[txn.product]);
-                self.latencies.push((now, txn.product, ratio));
-                // The fast circuit breaker.
-                if ratio > FAST_DECREASE_MULTIPLIER {
-                    self.window = (self.window * BETA).max(self.cores);
-                    let line = format!("one run took {ratio:.1} SLA times, window {:.1}", self.window);
-                    self.log(now, "breaker", line);
-                }
+        let ended = self.remove(id).filter(|t| how == Outcome::Completed && t.stage != Stage::Joined);
+        if let Some(txn) = ended {
+            let ran = took.saturating_sub(txn.call_wait).as_secs_f64();
+            let sla = self.products[txn.product].sla.as_secs_f64();
+            let ratio = ran / sla;
+            let warm = (ran * self.speed(txn.started)).min(sla);
+            self.pace[txn.product] += PACE_GAIN * (warm - self.pace[txn.product]);
+            self.latencies.push((now, txn.product, ratio));
+            // The fast circuit breaker.
+            if ratio > FAST_DECREASE_MULTIPLIER {
+                self.window = (self.window * BETA).max(self.cores);
+                self.log(
+                    now,
+                    "breaker",
+                    format!("one run took {ratio:.1} SLA times, window {:.1}", self.window),
+                );
             }
         }
         self.run_dues(now);
-        self.proceed(now);
+        self.go_on(now);
     }
 
     pub fn caller_gone(&mut self, now: Duration, id: TxnId) {
@@ -427,21 +416,17 @@
         let share = self.calls_share();
         if self.calls_slow() {
             self.calls_window = (self.calls_window * BETA).max(share * CALLS_LEAST);
-            self.log(
-                now,
-                "calls",
-                format!("calls take {:.2} s, window {:.2}", self.call_pace, self.calls_window),
-            );
+            let pace = self.call_pace;
+            self.log(now, "calls", format!("calls take {pace:.2} s, {:.2} at once", self.calls_window));
         } else {
             self.calls_window = (self.calls_window + share * CALLS_STEP).min(share * CALLS_SHARE);
         }
-        // Idle connections of callers that seldom come back give way to new ones: a full table takes cores and
-        // has others find no room. In a storm of tries it is still the cheapest way to turn callers away.
+        // Idle connections of callers that seldom return give way to new ones: a full table takes cores and
+        // leaves others no room. In a storm of tries it is still the cheapest way to turn callers away.
         if let Some(most) = self.cfg.span("family_info.idle") {
             let storm = self.reading > STORM * (self.reading + self.cores);
-            let rate = self.window / self.usual(|i| self.run_time(now, i)).max(1e-3);
-            let back = 1.0 - (-rate * most.as_secs_f64() / self.callers()).exp();
-            let least = most.mul_f64(IDLE_LEAST.max(back * back));
+            let callers = self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0);
+            let least = most.mul_f64((HEARD as f64 / callers).powi(2).clamp(IDLE_LEAST, 1.0));
             self.idle = self.idle.mul_f64(if storm { 2.0 } else { BETA }).clamp(least, most.max(least));
             self.host.close_idle(self.idle);
         }
@@ -461,11 +446,6 @@
         after.map_or(1.0, |after| now.div_duration_f64(after).min(1.0))
     }
 
-    fn proceed(&mut self, now: Duration) {
-        self.make_calls(now);
-        self.fill(now);
-    }
-
     /// Starts held txns by due time while the window has room.
     fn fill(&mut self, now: Duration) {
         while let Some(&(_, id)) = self.hold.first() {
@@ -533,6 +513,28 @@
 
     // ---- the hold and the level of value ----
 
+    /// Time since the first try, where it shows: most tries wait a usual part of the product's whole time, or
+    /// what their caller waited before; one that waits another has what is left of the whole.
+    fn age(&mut self, read: &Arrival, arrived: Duration, p: &Product) -> Duration {
+        let span = |end: Duration| end.saturating_sub(arrived).div_duration_f64(p.expiry.max(self.tick));
+        let left = read.expiry.map_or(1.0, span).min(1.0);
+        let (bin, n) = ((left * WAITS) as usize, self.heard.len() as f64);
+        let near = self.heard.iter().filter(|h| h.1.abs_diff(bin) <= 1).count() as f64;
+        let usual = near >= USUAL * n || self.heard.contains(&(read.caller, bin));
+        let same = self.heard.iter().filter(|h| h.0 == read.caller).count() as f64;
+        self.same += (same / n.max(1.0) - self.same) / (n + 1.0);
+        self.heard.push_front((read.caller, bin));
+        self.heard.truncate(HEARD);
+        let age = if usual { Duration::ZERO } else { p.expiry.mul_f64(1.0 - left) };
+        // One that is late already counts as new where it still earns as much as the cheapest in time.
+        let cheapest = self.products.iter().map(|p| p.value).fold(f64::MAX, f64::min);
+        if age > p.sla && p.value * p.late >= cheapest {
+            Duration::ZERO
+        } else {
+            age
+        }
+    }
+
     /// What the level is compared with: below 1 for products that are shed first, above for the others, by
     /// the user's place within the product, so that a level cuts the same users everywhere.
     fn worth(&mut self, now: Duration, product: usize, read: &Arrival) -> f64 {
@@ -602,19 +604,19 @@
 
     /// Gives up on a txn that has not run, and says when to come back.
     fn turn_away(&mut self, now: Duration, id: TxnId) {
+        let past = self.txns.get(&id).is_some_and(|t| t.due <= now);
         self.drop_unrun(id);
         let heard = self.cfg.flag("limits.retry_after") == Some(true);
         let most = self.cfg.span("limits.max_retry_after").filter(|_| heard).unwrap_or_default();
         let held = self.wait(now);
-        let wait = Duration::from_secs_f64(held * (0.5 + self.chance.draw()));
+        let wait = Duration::from_secs_f64(held);
         let away = self.leaving.is_some() || (!self.healthy && self.warmth(now) >= 1.0);
         let back_in = if away { most } else { wait.min(most) };
         self.log(now, "level", format!("declines at level {:.2}: the hold takes {held:.2} s", self.level));
-        self.advertise(now);
         // A warm server that turns away most of what it reads is not alone: one more try would be in vain.
         self.turned += PACE_GAIN;
         let last = self.turned > TURNED_MOST && self.leaving.is_none() && self.warmth(now) >= 1.0;
-        self.host.decline(id, Some(back_in).filter(|b| !b.is_zero()), last);
+        self.host.decline(id, Some(back_in).filter(|b| !b.is_zero()), last || past);
     }
 
     /// The error that promises nothing, for what has run or repeats what has run.
@@ -655,7 +657,7 @@
         let fresh = self.cfg.span("family_info.fresh_for").unwrap_or_default();
         let window = if p.effect == Effect::Referenced { p.window } else { fresh };
         let span = (arrived + window + self.tick * 2).saturating_sub(now);
-        if p.effect != Effect::OnceOnly && !span.is_zero() {
+        if p.effect != Effect::OnceOnly && !window.is_zero() && !span.is_zero() {
             self.host.keep(id, span);
             self.kept.insert(id, Kept { until: now + span, live: true, heir: None });
             self.dues.insert((now + span, Due::Key, id));
@@ -701,8 +703,8 @@
     }
 
     /// Makes the calls that wait, those first that lose most without, while the calls' window has room. Goes
-    /// on without, where that earns a part, once the wait would take half of the time left.
-    fn make_calls(&mut self, now: Duration) {
+    /// on without, where that earns a part, once the wait would take half of the time left. Then fills cores.
+    fn go_on(&mut self, now: Duration) {
         let mut waiting: Vec<(i64, Duration, TxnId)> = Vec::new();
         for (id, t) in self.txns.iter().filter(|(_, t)| t.stage == Stage::AtCall && !t.answered) {
             // One that can't be in time any more has only its late value at stake.
@@ -746,6 +748,7 @@
                 ahead += 1.0;
             }
         }
+        self.fill(now);
     }
 
     fn resume(&mut self, now: Duration, id: TxnId) {
@@ -794,13 +797,10 @@
         }
     }
 
-    fn callers(&self) -> f64 {
-        self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0)
-    }
-
     /// Txns that each caller may have out with us: the same for all, by how evenly they send.
     fn credit(&self, now: Duration) -> f64 {
-        let each = self.same.max(1.0 / self.callers());
+        let callers = self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0);
+        let each = self.same.max(1.0 / callers);
         let stay = |i: usize| (self.run_time(now, i) + self.unread).max(1e-3);
         self.window * CREDIT * self.usual(|i| self.products[i].sla.as_secs_f64() / stay(i)) * each
     }
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,6 +1,5 @@
-//! Ids, products, outcomes and chance. No decision lives here.
+//! Ids, products and outcomes. No decision lives here.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 /// A txn as the server knows it; carries no meaning beyond identity.
@@ -22,6 +21,17 @@
     OnceOnly,
 }
 
+impl Effect {
+    /// By the settings' name for it; what is unknown is not repeated.
+    pub fn named(name: &str) -> Effect {
+        match name {
+            "retryable" => Effect::InquiryLike,
+            "dedup" => Effect::Referenced,
+            _ => Effect::OnceOnly,
+        }
+    }
+}
+
 /// A kind of txn, as the settings describe it.
 #[derive(Clone, Debug)]
 pub struct Product {
@@ -87,20 +97,3 @@
     /// The kept txn that this one repeats.
     pub repeats: Option<TxnId>,
 }
-
-/// Chance that the same events repeat: the standard hasher over a seed and a counter.
-pub struct Chance(u64, u64);
-
-impl Chance {
-    pub fn new(seed: u64) -> Chance {
-        Chance(seed, 0)
-    }
-
-    /// From 0 up to 1.
-    pub fn draw(&mut self) -> f64 {
-        let mut hasher = DefaultHasher::new();
-        (self.0, self.1).hash(&mut hasher);
-        self.1 += 1;
-        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
-    }
-}
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -277,15 +277,11 @@
 impl Play {
     pub fn new(cfg: Settings) -> Play {
         let world = Shared::default();
-        let effect = |i: usize| match cfg.text(&format!("profiles.{i}.effect")) {
-            Some("retryable") => Effect::InquiryLike,
-            Some("dedup") => Effect::Referenced,
-            _ => Effect::OnceOnly,
-        };
+        let effect = |i: usize| Effect::named(cfg.text(&format!("profiles.{i}.effect")).unwrap());
         let named = (0..).take_while(|i| cfg.text(&format!("profiles.{i}.name")).is_some());
         world.0.borrow_mut().effects = named.map(effect).collect();
         world.0.borrow_mut().cfg = cfg.clone();
-        let brain = Brain::start(cfg, 7, Duration::ZERO, world.clone());
+        let brain = Brain::start(cfg, Duration::ZERO, world.clone());
         Play { brain, world, next: 1, caller: 0, lay: Duration::ZERO, kb: 10.0 }
     }
 
--- a/tests/suite/mechanism.rs
+++ b/tests/suite/mechanism.rs
@@ -164,37 +164,22 @@
     }
 }
 
-/// The credit falls when txns lie unread, so that a slow server is sent less.
+/// One caller that sends nearly all must not be held to an even share of the credit, and the credit falls when
+/// txns lie unread, so that a slow server is sent less.
 #[test]
-fn the_credit_falls_with_time_unread() {
-    let mut cfg = settings(&["retryable"]);
-    cfg.set("family_info.advert", Value::Text("window".into()));
-    let mut play = Play::new(cfg);
-    (0..20).for_each(|_| run_once(&mut play, 100));
-    let before = *play.world.0.borrow().said.last().unwrap();
-    for _ in 0..20 {
-        play.pass(MS * 30, 9.0);
-        play.lay = MS * 900;
-        play.read(0, MS * LONG, None, 0.5);
-    }
-    assert!(*play.world.0.borrow().said.last().unwrap() < before / 2.0);
-}
-
-/// One caller that sends nearly all must not be held to an even share of the credit.
-#[test]
-fn the_credit_follows_who_sends() {
-    let credit = |senders: u64| {
+fn the_credit_follows_who_sends_and_falls_with_time_unread() {
+    let credit = |senders: u64, lay: u32| {
         let mut cfg = with("family_info.upstreams", 6.0);
         cfg.set("family_info.advert", Value::Text("window".into()));
         let mut play = Play::new(cfg);
         for n in 0..60 {
-            play.caller = n % senders;
+            (play.caller, play.lay) = (n % senders, MS * lay);
             run_once(&mut play, 100);
         }
         let said = *play.world.0.borrow().said.last().unwrap();
         said
     };
-    assert!(credit(1) > 4.0 * credit(6));
+    assert!(credit(1, 0) > 4.0 * credit(6, 0) && credit(1, 900) < credit(1, 0) / 2.0);
 }
 
 /// A call that can't be in time any more must not stand before one that can.
@@ -245,3 +230,16 @@
     assert_eq!((idle(2.0, 3.0), idle(5000.0, 12.0)), (MS * 30_000, MS * 30_000));
     assert!(idle(5000.0, 3.0) < MS * 2000);
 }
+
+/// A later try that shows its age by what it still waits must not be run when it can be in time nowhere.
+#[test]
+fn a_try_past_its_sla_time_is_declined_for_good() {
+    let mut play = Play::new(settings(&["retryable"]));
+    for n in 0..30 {
+        play.caller = n;
+        let id = play.read(0, MS * 2000, None, 0.99);
+        play.end(id, Outcome::Completed);
+    }
+    let old = play.read(0, MS * 1000, None, 0.99);
+    assert_eq!(play.world.0.borrow().declined, [(old, None, true)]);
+}
