Surer time-outs of calls, and txns that would starve for calls are declined when read

Licences went on being started that could only wait. Now a call is made only where its time-out leaves half the SLA time (or none was made of late), and a txn whose call can't be left out is declined at reading where such calls, those in hand times a call's time over the calls' window, take longer than it has. Told from crowded cores by: run times usual, calls timing out, no level. Covers any dependency that slows or hangs; harm: one whose calls would have been quick again is sent on once.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -130,7 +130,8 @@
     level: f64,
     /// Each call of late: when it was made, and until when it may stay below.
     calls: Vec<(TxnId, Duration, Duration)>,
-    /// Calls at once, under 1: a share of the time; seconds a call takes of late, and when all is well.
+    /// The share of calls, the window of those at once (under 1: of the time), seconds of late and at best.
+    calls_share: f64,
     calls_window: f64,
     call_pace: f64,
     call_base: f64,
@@ -158,6 +159,7 @@
                 late: cfg.num(&key("late_worth")).unwrap_or(0.0),
                 window: cfg.span(&key("window")).unwrap_or(expiry * 4),
                 without: cfg.num(&format!("family_info.worth_without.{i}")).unwrap_or(0.0),
+                calls: cfg.flag(&format!("family_info.class_calls.{i}")) != Some(false),
             });
         }
         let needed =
@@ -170,8 +172,7 @@
         let tick = (slack / 2).max(cfg.span("tick").unwrap_or_default()).max(Duration::from_millis(5));
         host.health(true, true);
         host.wake(tick);
-        let calls_window =
-            cfg.num("family_info.calls_out").filter(|c| *c > 0.0).unwrap_or(f64::MAX) * CALLS_LEAST;
+        let calls_share = cfg.num("family_info.calls_out").filter(|c| *c > 0.0).unwrap_or(f64::MAX);
         let pace = products.iter().map(|p| p.sla.as_secs_f64() * PACE_AT_FIRST).collect();
         Brain {
             host,
@@ -198,7 +199,8 @@
             healthy: true,
             level: 0.0,
             calls: Vec::new(),
-            calls_window,
+            calls_share,
+            calls_window: calls_share * CALLS_LEAST,
             call_pace: 0.0,
             call_base: f64::MAX,
             calls_seen: 0.0,
@@ -261,7 +263,12 @@
             None => self.weigh(now),
         }
         self.hold.insert((due, id));
-        let under = first.is_none() && worth < self.level;
+        // Calls that can't be left out may take too long in all for one more txn to be in time.
+        let dear = |p: &Product| p.calls && p.without <= 0.0;
+        let calls =
+            self.count(|t| dear(&self.products[t.product])) as f64 * self.call_pace / self.calls_window;
+        let starved = dear(&p) && calls > p.sla.as_secs_f64() - self.run_time(now, product);
+        let under = first.is_none() && (worth < self.level || starved);
         if under || self.too_late(arrived) || self.memory(0.0) > MEMORY_SHARE {
             return self.turn_away(now, id);
         }
@@ -413,7 +420,7 @@
                 self.pace[i] += 0.2 * (first - self.pace[i]);
             }
         }
-        let share = self.calls_share();
+        let share = self.calls_share;
         if self.calls_slow() {
             self.calls_window = (self.calls_window * BETA).max(share * CALLS_LEAST);
             let pace = self.call_pace;
@@ -609,9 +616,8 @@
         let heard = self.cfg.flag("limits.retry_after") == Some(true);
         let most = self.cfg.span("limits.max_retry_after").filter(|_| heard).unwrap_or_default();
         let held = self.wait(now);
-        let wait = Duration::from_secs_f64(held);
         let away = self.leaving.is_some() || (!self.healthy && self.warmth(now) >= 1.0);
-        let back_in = if away { most } else { wait.min(most) };
+        let back_in = if away { most } else { most.min(Duration::from_secs_f64(held)) };
         self.log(now, "level", format!("declines at level {:.2}: the hold takes {held:.2} s", self.level));
         // A warm server that turns away most of what it reads is not alone: one more try would be in vain.
         self.turned += PACE_GAIN;
@@ -664,8 +670,6 @@
         }
     }
 
-    // ---- calls ----
-
     /// A call is over, here at least: one given up, whatever for, lingers below.
     fn call_over(&mut self, now: Duration, id: TxnId, gone: bool) {
         let linger = self.cfg.span("family_info.linger").filter(|_| !gone).unwrap_or_default();
@@ -680,7 +684,7 @@
         let since = now.saturating_sub(over);
         self.calls.retain(|(_, _, until)| *until > since);
         let taken: Duration = self.calls.iter().map(|(_, made, until)| *until - (*made).max(since)).sum();
-        let most = (self.calls_share() * CALLS_SHARE).min(1e6);
+        let most = (self.calls_share * CALLS_SHARE).min(1e6);
         over.mul_f64(most).saturating_sub(taken)
     }
 
@@ -693,10 +697,6 @@
         self.products.iter().map(|p| p.sla.as_secs_f64()).fold(f64::MAX, f64::min)
     }
 
-    fn calls_share(&self) -> f64 {
-        self.cfg.num("family_info.calls_out").filter(|c| *c > 0.0).unwrap_or(f64::MAX)
-    }
-
     /// What leaving out a call loses, in millionths.
     fn stake(&self, product: usize) -> i64 {
         (self.products[product].value * (1.0 - self.products[product].without) * 1e6) as i64
@@ -716,8 +716,8 @@
         waiting.sort();
         let mut longest = self.call_room(now);
         let (mut ahead, mut out) = (0.0, self.calls.iter().filter(|c| c.2 > now).count() as f64);
-        let calls = |i: &usize| self.cfg.flag(&format!("family_info.class_calls.{i}")) != Some(false);
-        let dearest = (0..self.products.len()).filter(calls).map(|i| self.stake(i)).max().unwrap_or(0);
+        let dearest =
+            (0..self.products.len()).filter(|i| self.products[*i].calls).map(|i| self.stake(i)).max();
         for (stake, _, id) in waiting {
             let txn = &self.txns[&id];
             let p = &self.products[txn.product];
@@ -727,15 +727,16 @@
             let gap = self.call_pace / self.calls_window;
             let last = self.calls.last().map_or(f64::MAX, |c| now.saturating_sub(c.1).as_secs_f64());
             let paced = out == 0.0 && last >= gap;
-            let fits = longest.as_secs_f64() > self.call_pace || self.calls.is_empty();
+            let left = if p.without > 0.0 && to_due > self.tick { to_due } else { to_expiry };
+            // A time-out that is short for want of room would leave the call's effect unknown.
+            let fits = longest >= left.min(p.sla / 2) || self.calls.is_empty();
             let room = fits && (out + 1.0 <= self.calls_window || paced) && now >= txn.redial;
             let wait = if room { self.call_pace } else { (ahead + 1.0) * gap + self.call_pace };
             let futile = wait > to_due.as_secs_f64() * 0.5 && (!to_due.is_zero() || p.late <= 0.0 || !room);
-            if p.without > 0.0 && (futile || (-stake < dearest && self.calls_slow())) {
+            if p.without > 0.0 && (futile || (-stake < dearest.unwrap_or(0) && self.calls_slow())) {
                 self.resume(now, id);
                 self.host.skip_call(id);
             } else if room {
-                let left = if p.without > 0.0 && to_due > self.tick { to_due } else { to_expiry };
                 let give_up = left.max(self.tick).min(longest);
                 out += 1.0;
                 self.calls.push((id, now, now + give_up));
@@ -788,7 +789,12 @@
             Some("threshold") => self.level.min(1.0) / self.products.len().max(1) as f64,
             Some("share_of") if !self.healthy => 0.0,
             Some("share_of") => (0.3 + 0.7 * self.warmth(now)) * (1.0 - self.level.min(1.0) / 2.0),
-            Some("window") => self.credit(now),
+            // Txns a caller may have out with us: the same for all, by how evenly they send.
+            Some("window") => {
+                let each = self.same.max(1.0 / self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0));
+                let stay = |i: usize| (self.run_time(now, i) + self.unread).max(1e-3);
+                self.window * CREDIT * self.usual(|i| self.products[i].sla.as_secs_f64() / stay(i)) * each
+            }
             _ => return,
         };
         let value = if value < 10.0 { (value * 20.0).round() / 20.0 } else { value.round() };
@@ -797,15 +803,6 @@
         }
     }
 
-    /// Txns that each caller may have out with us: the same for all, by how evenly they send.
-    fn credit(&self, now: Duration) -> f64 {
-        let callers = self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0);
-        let each = self.same.max(1.0 / callers);
-        let stay = |i: usize| (self.run_time(now, i) + self.unread).max(1e-3);
-        self.window * CREDIT * self.usual(|i| self.products[i].sla.as_secs_f64() / stay(i)) * each
-    }
-
-    /// One line of a kind now and then.
     fn log(&mut self, now: Duration, kind: &'static str, line: String) {
         if self.logged.get(kind).is_none_or(|at| now.saturating_sub(*at) >= QUIET_LOG) {
             self.logged.insert(kind, now);
--- a/src/types.rs
+++ b/src/types.rs
@@ -48,6 +48,8 @@
     pub window: Duration,
     /// Share of the value kept when a call is left out.
     pub without: f64,
+    /// Whether it calls below at all.
+    pub calls: bool,
 }
 
 /// How a run or a call ended.
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -32,7 +32,6 @@
     pub answers: u32,
     pub ran: bool,
     pub gone: bool,
-    /// An earlier call of it may have had its effect.
     pub called: bool,
 }
 
@@ -40,7 +39,6 @@
 pub struct World {
     pub now: Duration,
     pub txns: BTreeMap<TxnId, Seen>,
-    /// By reference: who holds the entry, since when, until when.
     pub entries: BTreeMap<u8, (TxnId, Duration, Duration)>,
     pub effects: Vec<Effect>,
     pub cfg: Settings,
@@ -50,7 +48,6 @@
     pub broken: Vec<String>,
     pub said: Vec<f64>,
     pub idle: Duration,
-    /// Each call with its time-out.
     pub calls: Vec<(TxnId, Duration)>,
     pub declined: Vec<(TxnId, Option<Duration>, bool)>,
 }
@@ -263,7 +260,6 @@
     cfg
 }
 
-/// The module and its world together.
 pub struct Play {
     pub brain: Brain<Shared>,
     pub world: Shared,
@@ -347,7 +343,6 @@
         id
     }
 
-    /// A run comes to its end; those that joined it end with it.
     pub fn end(&mut self, id: TxnId, how: Outcome) {
         let now = self.now();
         let began = {
--- a/tests/suite/mechanism.rs
+++ b/tests/suite/mechanism.rs
@@ -243,3 +243,17 @@
     let old = play.read(0, MS * 1000, None, 0.99);
     assert_eq!(play.world.0.borrow().declined, [(old, None, true)]);
 }
+
+/// Calls that can't be left out take too long: what would only wait for one is declined when it is read.
+#[test]
+fn what_starves_for_calls_is_declined_unrun() {
+    for (took, at) in [(30, At::Running), (300, At::Over)] {
+        let mut play = Play::new(with("family_info.calls_out", 0.5));
+        let id = play.read(0, MS * 9000, None, 0.99);
+        play.set(id, At::Waiting);
+        play.brain.call_needed(MS, id);
+        play.brain.call_ended(MS * (took + 1), id, Outcome::Completed, MS * took);
+        let next = play.read(0, MS * 9000, None, 0.99);
+        assert_eq!(play.at(next), at, "calls of {took} ms");
+    }
+}
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -82,7 +82,6 @@
             play.brain.drain(now, stop);
         }
         14 => {
-            // Events for txns never read do nothing.
             let stranger = TxnId(u32::MAX - u32::from(which));
             play.brain.call_needed(now, stranger);
             play.brain.call_ended(now, stranger, Overdue, MS);
