Level from 0.15 to 0.6 of the slack

On servers of two cores one txn held is a quarter of the slack already; an earlier level declines sooner and runs fewer late.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,8 +25,8 @@
 const COLD_PER_CORE: f64 = 1.0;
 
 // The level of value, by the time the hold takes to drain over the slack that txns have.
-const LEVEL_FROM: f64 = 0.3;
-const LEVEL_TO: f64 = 0.8;
+const LEVEL_FROM: f64 = 0.15;
+const LEVEL_TO: f64 = 0.6;
 const SURER: f64 = 2.0; // usual runs that a start needs before its SLA time, beside one, under a full level
 const PACE_GAIN: f64 = 0.1;
 const TURNED_MOST: f64 = 0.5; // of what is read
