--- a/crates/aldercrank-drill/src/lib.rs
+++ b/crates/aldercrank-drill/src/lib.rs
@@ -1,6 +1,6 @@
 //! Decodes batches of the drill's wire into calls of `Brain` and encodes what it tells its host. Decides nothing.
 
-use aldercrank::{Arrival, Brain, CallerId, Host, Outcome, Settings, TxnId, Value};
+use aldercrank::{Arrival, Brain, CallerId, Host, Outcome, TxnId};
 use serde_json::{json, Value as Json};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -108,10 +108,7 @@
     fn event(&mut self, i: u64, clock: u64, item: &Json) {
         let name = item.get("t").and_then(Json::as_str).unwrap_or_default();
         if name == "PowerOn" {
-            let mut settings = Settings::default();
-            if let Some(env) = item.get("env") {
-                flatten("", env, &mut settings);
-            }
+            let settings = item.get("env").map(aldercrank_json::settings).unwrap_or_default();
             let brain = Brain::start(settings, Duration::ZERO, Outbox::default());
             self.instances.insert(i, Instance { brain, zero: clock });
             return;
@@ -185,21 +182,6 @@
     }
 }
 
-/// Nested settings become dotted names; list items count from 0.
-fn flatten(path: &str, value: &Json, into: &mut Settings) {
-    let join = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
-    match value {
-        Json::Object(fields) => fields.iter().for_each(|(k, v)| flatten(&join(k), v, into)),
-        Json::Array(items) => {
-            items.iter().enumerate().for_each(|(k, v)| flatten(&join(&k.to_string()), v, into))
-        }
-        Json::String(s) => into.set(path, Value::Text(s.clone())),
-        Json::Bool(b) => into.set(path, Value::Flag(*b)),
-        Json::Number(n) => into.set(path, Value::Num(n.as_f64().unwrap_or(f64::NAN))),
-        Json::Null => {}
-    }
-}
-
 fn byte_at(line: &str, e: &serde_json::Error) -> usize {
     e.column().saturating_sub(1).min(line.len())
 }
--- /dev/null
+++ b/crates/aldercrank-server/src/clock.rs
@@ -0,0 +1,35 @@
+//! The system's clocks: spans since the worker pool's start, and the Unix time that the edge speaks.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub struct Clock {
+    zero: Instant,
+    ahead: Duration,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Clock { zero: Instant::now(), ahead: Duration::ZERO }
+    }
+}
+
+impl Clock {
+    pub fn now(&self) -> Duration {
+        self.zero.elapsed() + self.ahead
+    }
+
+    /// From here on the clock counts from `age` ago.
+    pub fn restart(&mut self, age: Duration) {
+        *self = Clock { zero: Instant::now(), ahead: age };
+    }
+
+    pub fn unix() -> Duration {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    }
+}
+
+/// How long ago a Unix time was, and how long it is until another; none of it below zero, so that a clock
+/// that was set back makes nothing that has not come yet.
+pub fn ago(unix_now: Duration, then: Duration) -> Duration {
+    unix_now.saturating_sub(then)
+}
--- /dev/null
+++ b/crates/aldercrank-server/src/config.rs
@@ -0,0 +1,75 @@
+//! What the platform tells the program: a JSON file, and two variables that stand in for what it lacks.
+
+use aldercrank::Settings;
+use serde_json::Value as Json;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub pool: SocketAddr,
+    pub members: SocketAddr,
+    pub index: SocketAddr,
+    /// From the notice to leave until the process is killed.
+    pub stop: Duration,
+    pub memory: usize,
+    pub sockets: usize,
+    pub settings: Settings,
+}
+
+impl Config {
+    /// Reads the file that `ROUTER_CONFIG` names, or this one.
+    pub fn load(path: Option<&str>) -> Result<Config, String> {
+        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        let path = path.map(str::to_string).or_else(|| var("ROUTER_CONFIG"));
+        let path = path.ok_or("ROUTER_CONFIG is not set and no file was named")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+        Config::parse(&text, var).map_err(|why| format!("{path}: {why}"))
+    }
+
+    /// Takes the configuration's text; says in one line which field is missing or makes no sense.
+    pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let json: Json = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
+        let word = |field: &str, or: &str| {
+            let given = json.get(field).and_then(Json::as_str).map(str::to_string);
+            given.or_else(|| var(or)).filter(|v| !v.is_empty()).ok_or(format!("{field} is missing"))
+        };
+        let addr = |field: &str, or: &str| {
+            let text = word(field, or)?;
+            text.parse().map_err(|_| format!("{field} is no address with a port: {text}"))
+        };
+        let count = |value: Option<&Json>, field: &str| {
+            let n = value.ok_or(format!("{field} is missing"))?.as_f64();
+            n.filter(|n| *n >= 1.0 && *n <= 1e9).ok_or(format!("{field} is no number of 1 or more"))
+        };
+        let limit = |field: &str| {
+            let limits = json.get("limits").and_then(|l| l.get(field));
+            count(limits, &format!("limits.{field}"))
+        };
+        let name = word("name", "ROUTER_NAME")?;
+        if !name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b)) {
+            return Err(format!("name is no plain word: {name}"));
+        }
+        let settings = json.get("settings").filter(|s| s.is_object()).ok_or("settings are missing")?;
+        let settings = aldercrank_json::settings(settings);
+        if settings.text("profiles.0.name").is_none() {
+            return Err("settings.profiles names no product".to_string());
+        }
+        let sockets = limit("sockets")? as usize;
+        if sockets < 32 {
+            return Err("limits.sockets is under 32".to_string());
+        }
+        Ok(Config {
+            name,
+            listen: addr("listen", "ROUTER_LISTEN")?,
+            pool: addr("pool", "")?,
+            members: addr("members", "")?,
+            index: addr("index", "")?,
+            stop: Duration::from_secs_f64(count(json.get("stop_ms"), "stop_ms")? / 1e3),
+            memory: (limit("memory_mb")? * 1e6) as usize,
+            sockets,
+            settings,
+        })
+    }
+}
--- /dev/null
+++ b/crates/aldercrank-server/src/deadlines.rs
@@ -0,0 +1,50 @@
+//! The one ordered structure that all deadlines hang in.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Each thing has one deadline at most; a new one replaces it.
+#[derive(Debug)]
+pub struct Deadlines<K> {
+    at: BTreeMap<K, Duration>,
+    order: BTreeSet<(Duration, K)>,
+}
+
+impl<K> Default for Deadlines<K> {
+    fn default() -> Self {
+        Deadlines { at: BTreeMap::new(), order: BTreeSet::new() }
+    }
+}
+
+impl<K: Copy + Ord> Deadlines<K> {
+    pub fn set(&mut self, what: K, at: Duration) {
+        self.clear(what);
+        self.at.insert(what, at);
+        self.order.insert((at, what));
+    }
+
+    pub fn clear(&mut self, what: K) {
+        if let Some(at) = self.at.remove(&what) {
+            self.order.remove(&(at, what));
+        }
+    }
+
+    pub fn next(&self) -> Option<Duration> {
+        self.order.first().map(|(at, _)| *at)
+    }
+
+    /// The earliest that has come, taken out.
+    pub fn due(&mut self, now: Duration) -> Option<K> {
+        let &(_, what) = self.order.first().filter(|(at, _)| *at <= now)?;
+        self.clear(what);
+        Some(what)
+    }
+
+    /// Moves all to another zero of the clock: what stood at `from` stands at `to`.
+    pub fn rebase(&mut self, from: Duration, to: Duration) {
+        let all: Vec<(K, Duration)> = self.at.iter().map(|(k, at)| (*k, *at)).collect();
+        for (what, at) in all {
+            self.set(what, (at + to).saturating_sub(from));
+        }
+    }
+}
--- /dev/null
+++ b/crates/aldercrank-server/src/keys.rs
@@ -0,0 +1,153 @@
+//! Marks of txns (tokens, and subjects of reads) that the module keeps, and the results of those that ran.
+
+use crate::slots::{Slot, Slots};
+use aldercrank::TxnId;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The most entries, some of them past their end.
+const ENTRIES: usize = 60_000;
+
+/// What links a txn with its repeats.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Mark {
+    Token(String),
+    Subject(String, String),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KeyId(u32);
+
+/// What a kept txn's run has come to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fate {
+    Open,
+    Settled(Rc<[u8]>),
+    /// It ended otherwise, or its result had to make room.
+    Lost,
+}
+
+struct Entry {
+    mark: Mark,
+    holder: TxnId,
+    /// The try that ran, and what it came to.
+    ran: Option<TxnId>,
+    fate: Fate,
+    until: Duration,
+}
+
+pub struct Keys {
+    entries: Slots<Entry>,
+    marks: BTreeMap<Mark, KeyId>,
+    /// Those with a result, oldest first, and what the results take.
+    results: VecDeque<KeyId>,
+    bytes: usize,
+    room: usize,
+}
+
+impl Keys {
+    pub fn new(room: usize) -> Keys {
+        let (entries, marks, results) = (Slots::default(), BTreeMap::new(), VecDeque::new());
+        Keys { entries, marks, results, bytes: 0, room }
+    }
+
+    fn entry(&mut self, mark: &Mark) -> Option<&mut Entry> {
+        let key = self.marks.get(mark)?;
+        self.entries.get_mut(Slot(key.0))
+    }
+
+    /// The txn that one with this mark repeats: the one that holds the entry, or, where it has run out since
+    /// the repeat came to the machine, the one that ran.
+    pub fn repeated(&mut self, mark: &Mark, arrived: Duration, now: Duration) -> Option<TxnId> {
+        let entry = self.entry(mark).filter(|e| arrived <= e.until)?;
+        Some(if now <= entry.until { entry.holder } else { entry.ran.unwrap_or(entry.holder) })
+    }
+
+    /// Enters a txn or renews its entry; a repeat takes the entry over. Gives the entry, and the txn that it
+    /// named before. Nothing when the table is full.
+    pub fn keep(&mut self, mark: &Mark, txn: TxnId, until: Duration) -> Option<(KeyId, Option<TxnId>)> {
+        if let Some(entry) = self.entry(mark) {
+            let before = std::mem::replace(&mut entry.holder, txn);
+            entry.until = entry.until.max(until);
+            let named = entry.ran == Some(before) || before == txn;
+            return Some((self.marks[mark], Some(before).filter(|_| !named)));
+        }
+        let entry = Entry { mark: mark.clone(), holder: txn, ran: None, fate: Fate::Open, until };
+        let key = KeyId(self.entries.insert(entry)?.0);
+        self.marks.insert(mark.clone(), key);
+        Some((key, None))
+    }
+
+    /// A mark read now could not be entered.
+    pub fn full(&self) -> bool {
+        self.entries.len() >= ENTRIES
+    }
+
+    pub fn names(&mut self, mark: &Mark, txn: TxnId) -> bool {
+        self.entry(mark).is_some_and(|e| e.holder == txn || e.ran == Some(txn))
+    }
+
+    /// Drops the entry of a txn that has not run. One whose try has run stays, whoever holds it.
+    pub fn forget(&mut self, mark: &Mark, txn: TxnId) {
+        let Some(entry) = self.entry(mark).filter(|e| e.holder == txn) else { return };
+        match entry.ran {
+            Some(ran) => entry.holder = ran,
+            None => self.drop_entry(self.marks[mark]),
+        }
+    }
+
+    pub fn started(&mut self, mark: &Mark, txn: TxnId) {
+        if let Some(entry) = self.entry(mark).filter(|e| e.holder == txn) {
+            (entry.ran, entry.fate) = (Some(txn), Fate::Open);
+        }
+    }
+
+    /// The run has ended, with a result where it went well.
+    pub fn ended(&mut self, mark: &Mark, txn: TxnId, result: Option<&[u8]>) {
+        let Some(entry) = self.entry(mark).filter(|e| e.ran == Some(txn)) else { return };
+        entry.fate = result.map_or(Fate::Lost, |bytes| Fate::Settled(bytes.into()));
+        if let Some(bytes) = result {
+            self.bytes += bytes.len();
+            self.results.push_back(self.marks[mark]);
+        }
+        // Only results make room. The entries stay, so that nothing runs again for want of memory.
+        while self.bytes > self.room {
+            let Some(oldest) = self.results.pop_front() else { break };
+            self.drop_result(oldest);
+        }
+    }
+
+    pub fn fate(&mut self, mark: &Mark) -> Fate {
+        self.entry(mark).map_or(Fate::Lost, |e| e.fate.clone())
+    }
+
+    fn drop_result(&mut self, key: KeyId) {
+        if let Some(entry) = self.entries.get_mut(Slot(key.0)) {
+            if let Fate::Settled(bytes) = std::mem::replace(&mut entry.fate, Fate::Lost) {
+                self.bytes -= bytes.len();
+            }
+        }
+    }
+
+    fn drop_entry(&mut self, key: KeyId) {
+        self.drop_result(key);
+        self.results.retain(|k| *k != key);
+        if let Some(entry) = self.entries.remove(Slot(key.0)) {
+            self.marks.remove(&entry.mark);
+        }
+    }
+
+    /// When the entry may go: late repeats are linked for `after` beyond its end.
+    pub fn ends(&self, key: KeyId, after: Duration) -> Option<Duration> {
+        self.entries.get(Slot(key.0)).map(|e| e.until + after)
+    }
+
+    /// Drops an entry; gives the txns that it named.
+    pub fn lapse(&mut self, key: KeyId) -> Vec<TxnId> {
+        let entry = self.entries.get(Slot(key.0));
+        let named = entry.map(|e| e.ran.into_iter().chain([e.holder]).collect()).unwrap_or_default();
+        self.drop_entry(key);
+        named
+    }
+}
--- /dev/null
+++ b/crates/aldercrank-server/src/main.rs
@@ -0,0 +1,53 @@
+//! The command line: `aldercrank serve`, `aldercrank check-config`, `aldercrank version`.
+
+use aldercrank_server::config::Config;
+use aldercrank_server::{logger::Logger, net};
+use bpaf::{construct, long, positional, pure, OptionParser, Parser};
+use std::process::ExitCode;
+
+#[derive(Clone)]
+enum Command {
+    Serve { verbose: bool, config: Option<String> },
+    CheckConfig { config: Option<String> },
+    Version,
+}
+
+fn commands() -> OptionParser<Command> {
+    let config = || positional::<String>("CONFIG").help("the file, if not the one that ROUTER_CONFIG names");
+    let verbose = long("verbose").short('v').help("log more").switch();
+    let file = config().optional();
+    let serve = construct!(Command::Serve { verbose, config(file) })
+        .to_options()
+        .descr("Serve until SIGTERM")
+        .command("serve");
+    let file = config().optional();
+    let check = construct!(Command::CheckConfig { config(file) })
+        .to_options()
+        .descr("Say whether a configuration can be served, and which field is wrong")
+        .command("check-config");
+    let version = pure(Command::Version).to_options().descr("Print the version").command("version");
+    construct!([serve, check, version]).to_options().descr("Decides what a server takes, runs and turns away")
+}
+
+fn main() -> ExitCode {
+    let run = match commands().run() {
+        Command::Version => {
+            println!("aldercrank {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Command::CheckConfig { config } => Config::load(config.as_deref()).map(|c| {
+            println!("{}: can be served on {}", c.name, c.listen);
+        }),
+        Command::Serve { verbose, config } => {
+            Logger::install(if verbose { log::LevelFilter::Debug } else { log::LevelFilter::Info });
+            Config::load(config.as_deref()).and_then(|c| net::serve(c).map_err(|e| e.to_string()))
+        }
+    };
+    match run {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("aldercrank: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/aldercrank-server/src/msgpack.rs
@@ -0,0 +1,239 @@
+//! The edge's MessagePack-RPC, apart from sockets: one method of `Edge` for each thing that is said.
+
+use rmp::decode;
+use rmp::{encode, Marker};
+use std::time::Duration;
+
+/// The longest message and body that are read.
+const FRAME: usize = 16 * 1024;
+pub const BODY: usize = 2 * 1024;
+
+/// What cannot be read any further.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Broken(pub &'static str);
+
+/// The fields that decisions need; the rest is passed over.
+#[derive(Debug, Default, PartialEq)]
+pub struct Fields<'a> {
+    pub rid: Option<&'a str>,
+    pub t0: Option<u64>,
+    pub peer: Option<u64>,
+    pub budget: Option<u64>,
+    pub mem: Option<f64>,
+    pub prio: Option<f64>,
+    pub token: Option<&'a str>,
+    pub obj: Option<&'a str>,
+}
+
+pub trait Edge {
+    fn asked(&mut self, call: u32, method: &str, fields: &Fields, body: &[u8]);
+    fn checked(&mut self, call: u32);
+    fn interrupted(&mut self, call: u32);
+    /// A call that makes no sense, but has an id to answer to.
+    fn senseless(&mut self, call: u32, why: &'static str);
+    /// A notification that is not known.
+    fn ignored(&mut self, why: &'static str);
+}
+
+/// Reads one message off the front. Gives its length, or nothing while it is not whole.
+pub fn read(buf: &[u8], edge: &mut impl Edge) -> Result<Option<usize>, Broken> {
+    let Some(end) = whole(buf)? else { return Ok(None) };
+    let mut rest = &buf[..end];
+    message(&mut rest, edge)?;
+    Ok(Some(end))
+}
+
+/// Where the value at the front ends. Counts what is owed instead of nesting, so depth costs nothing.
+fn whole(buf: &[u8]) -> Result<Option<usize>, Broken> {
+    let (mut at, mut owed) = (0usize, 1u64);
+    let long = |at: usize, n: usize| -> Option<u64> {
+        let bytes = buf.get(at + 1..at + 1 + n)?;
+        Some(bytes.iter().fold(0, |sum, b| sum << 8 | u64::from(*b)))
+    };
+    while owed > 0 {
+        if at > FRAME {
+            return Err(Broken("a message over the limit"));
+        }
+        let Some(first) = buf.get(at) else { return Ok(None) };
+        let sized = |n: usize| long(at, n).map(|len| 1 + n as u64 + len);
+        let step = match Marker::from_u8(*first) {
+            Marker::Reserved => return Err(Broken("not MessagePack")),
+            Marker::FixStr(n) => Some(1 + u64::from(n)),
+            Marker::Str8 | Marker::Bin8 => sized(1),
+            Marker::Str16 | Marker::Bin16 => sized(2),
+            Marker::Str32 | Marker::Bin32 => sized(4),
+            Marker::U8 | Marker::I8 => Some(2),
+            Marker::U16 | Marker::I16 | Marker::FixExt1 => Some(3),
+            Marker::FixExt2 => Some(4),
+            Marker::U32 | Marker::I32 | Marker::F32 => Some(5),
+            Marker::FixExt4 => Some(6),
+            Marker::U64 | Marker::I64 | Marker::F64 => Some(9),
+            Marker::FixExt8 => Some(10),
+            Marker::FixExt16 => Some(18),
+            Marker::Ext8 => sized(1).map(|n| n + 1),
+            Marker::Ext16 => sized(2).map(|n| n + 1),
+            Marker::Ext32 => sized(4).map(|n| n + 1),
+            Marker::FixArray(n) => {
+                owed += u64::from(n);
+                Some(1)
+            }
+            Marker::FixMap(n) => {
+                owed += 2 * u64::from(n);
+                Some(1)
+            }
+            Marker::Array16 | Marker::Map16 | Marker::Array32 | Marker::Map32 => {
+                let wide = matches!(Marker::from_u8(*first), Marker::Array32 | Marker::Map32);
+                let map = matches!(Marker::from_u8(*first), Marker::Map16 | Marker::Map32);
+                let n = if wide { 4 } else { 2 };
+                long(at, n).map(|items| {
+                    owed += items * if map { 2 } else { 1 };
+                    1 + n as u64
+                })
+            }
+            _ => Some(1),
+        };
+        let Some(step) = step else { return Ok(None) };
+        at = at.saturating_add(usize::try_from(step).unwrap_or(usize::MAX));
+        owed -= 1;
+    }
+    match at {
+        _ if at > FRAME => Err(Broken("a message over the limit")),
+        _ if at > buf.len() => Ok(None),
+        _ => Ok(Some(at)),
+    }
+}
+
+fn message(rest: &mut &[u8], edge: &mut impl Edge) -> Result<(), Broken> {
+    let parts = decode::read_array_len(rest).map_err(|_| Broken("not a message"))?;
+    let kind: u32 = decode::read_int(rest).map_err(|_| Broken("a message of no kind"))?;
+    match (kind, parts) {
+        (0, 4) => {
+            let call: u32 = decode::read_int(rest).map_err(|_| Broken("a call without an id"))?;
+            if let Err(why) = called(call, rest, edge) {
+                edge.senseless(call, why);
+            }
+            Ok(())
+        }
+        (2, 3) => {
+            let known = text(rest).is_some_and(|method| method == "interrupt");
+            let id = known
+                .then(|| decode::read_array_len(rest).ok().filter(|n| *n > 0))
+                .flatten()
+                .and_then(|_| decode::read_int(rest).ok());
+            match id {
+                Some(call) => edge.interrupted(call),
+                None => edge.ignored("a notification that is not known"),
+            }
+            Ok(())
+        }
+        (1, 4) => {
+            edge.ignored("an answer to nothing");
+            Ok(())
+        }
+        _ => Err(Broken("a message of no kind")),
+    }
+}
+
+fn called(call: u32, rest: &mut &[u8], edge: &mut impl Edge) -> Result<(), &'static str> {
+    let method = text(rest).ok_or("a method that is no text")?;
+    let params = decode::read_array_len(rest).map_err(|_| "parameters that are no list")?;
+    if method == "check" {
+        edge.checked(call);
+        return Ok(());
+    }
+    if params < 2 {
+        return Err("a call without fields and body");
+    }
+    let count = decode::read_map_len(rest).map_err(|_| "fields that are no map")?;
+    let mut fields = Fields::default();
+    for _ in 0..count {
+        let (Some(name), Some(value)) = (text(rest), text(rest)) else {
+            return Err("a field that is no text");
+        };
+        match name {
+            "rid" => fields.rid = Some(value),
+            "t0" => fields.t0 = value.parse().ok(),
+            "peer" => fields.peer = value.parse().ok(),
+            "budget" => fields.budget = value.parse().ok(),
+            "mem" => fields.mem = number(value),
+            "prio" => fields.prio = number(value),
+            "token" => fields.token = Some(value),
+            "obj" => fields.obj = Some(value),
+            _ => {}
+        }
+    }
+    let length = decode::read_bin_len(rest).map_err(|_| "a body that is not binary")? as usize;
+    let body = rest.get(..length).filter(|b| b.len() <= BODY).ok_or("a body over the limit")?;
+    edge.asked(call, method, &fields, body);
+    Ok(())
+}
+
+fn text<'a>(rest: &mut &'a [u8]) -> Option<&'a str> {
+    let length = decode::read_str_len(rest).ok()? as usize;
+    let (text, after) = rest.split_at_checked(length)?;
+    *rest = after;
+    std::str::from_utf8(text).ok()
+}
+
+fn number(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
+}
+
+/// What goes along with answers.
+fn fields(into: &mut Vec<u8>, hint: Option<f64>, back_in: Option<Duration>, last: bool) {
+    let mut all: Vec<(&str, String)> = Vec::new();
+    all.extend(hint.map(|h| ("hint", format!("{h}"))));
+    // Rounded up: a moment of less than a millisecond still is one.
+    all.extend(back_in.map(|b| ("backoff", b.as_micros().div_ceil(1000).to_string())));
+    all.extend(last.then(|| ("final", "1".to_string())));
+    let _ = encode::write_map_len(into, all.len() as u32);
+    for (name, value) in all {
+        let _ = encode::write_str(into, name);
+        let _ = encode::write_str(into, &value);
+    }
+}
+
+fn head(into: &mut Vec<u8>, call: u32) {
+    let _ = encode::write_array_len(into, 4);
+    let _ = encode::write_uint(into, 1);
+    let _ = encode::write_uint(into, u64::from(call));
+}
+
+pub fn settled(into: &mut Vec<u8>, call: u32, result: &[u8], hint: Option<f64>) {
+    head(into, call);
+    let _ = encode::write_nil(into);
+    let _ = encode::write_array_len(into, 2);
+    let _ = encode::write_bin(into, result);
+    fields(into, hint, None, false);
+}
+
+fn error(into: &mut Vec<u8>, call: u32, name: &str, with: (Option<f64>, Option<Duration>, bool)) {
+    head(into, call);
+    let _ = encode::write_array_len(into, 2);
+    let _ = encode::write_str(into, name);
+    fields(into, with.0, with.1, with.2);
+    let _ = encode::write_nil(into);
+}
+
+pub fn declined(into: &mut Vec<u8>, call: u32, hint: Option<f64>, back_in: Option<Duration>, last: bool) {
+    error(into, call, "Overloaded", (hint, back_in, last));
+}
+
+pub fn voided(into: &mut Vec<u8>, call: u32, hint: Option<f64>) {
+    error(into, call, "Internal", (hint, None, false));
+}
+
+pub fn check(into: &mut Vec<u8>, call: u32, good: bool, hint: Option<f64>) {
+    head(into, call);
+    let _ = encode::write_nil(into);
+    let _ = encode::write_array_len(into, 2);
+    let _ = encode::write_bool(into, good);
+    fields(into, hint, None, false);
+}
+
+pub fn closing(into: &mut Vec<u8>) {
+    let _ = encode::write_array_len(into, 3);
+    let _ = encode::write_uint(into, 2);
+    let _ = encode::write_str(into, "closing");
+    let _ = encode::write_array_len(into, 0);
+}
--- /dev/null
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -0,0 +1,400 @@
+//! Connections from the edge nodes: calls in, answers out.
+
+use super::link::{keep_rest, Fill, Link, Loop};
+use super::{Due, Server};
+use crate::clock::{ago, Clock};
+use crate::core::{Ask, ConnId, Seat};
+use crate::deadlines::Deadlines;
+use crate::keys::Mark;
+use crate::msgpack::{self, Edge, Fields};
+use crate::pool::Rid;
+use crate::slots::{Slot, Slots};
+use aldercrank::{Arrival, CallerId};
+use std::collections::BTreeSet;
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+/// Calls that may be open on a connection.
+const OPEN: usize = 32;
+/// A connection with more than this unsent is not read until its reader has caught up.
+const UNSENT: usize = 128 * 1024;
+/// Reads of one connection in a row, before others have their turn.
+const TURNS: usize = 4;
+/// How long the other side has to close what was told to close.
+const PARTING: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Open,
+    /// Told that nothing new is to come on it.
+    Closing,
+    /// Cannot be read any more; closes once all that is owed is settled.
+    Doomed,
+    /// All is said; the other side has to close.
+    Parting,
+}
+
+pub struct Conn {
+    link: Link,
+    calls: BTreeSet<u32>,
+    state: State,
+    /// When its last call was answered.
+    quiet: Duration,
+}
+
+#[derive(Default)]
+pub struct Conns {
+    conns: Slots<Conn>,
+    most: usize,
+    idle: Option<Duration>,
+    pub hint: Option<f64>,
+}
+
+impl Conns {
+    pub fn at_most(most: usize) -> Conns {
+        Conns { most, ..Conns::default() }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.conns.is_empty()
+    }
+
+    fn full(&self) -> bool {
+        self.conns.len() >= self.most
+    }
+
+    fn get(&mut self, conn: ConnId) -> Option<&mut Conn> {
+        self.conns.get_mut(Slot(conn.0))
+    }
+
+    /// Writes an answer; a call that is not open any more has nobody to read it.
+    pub fn answer(&mut self, seat: Seat, write: impl FnOnce(&mut Vec<u8>, Option<f64>)) {
+        let hint = self.hint;
+        if let Some(conn) = self.get(seat.conn).filter(|c| c.calls.contains(&seat.call)) {
+            conn.calls.remove(&seat.call);
+            conn.link.say(|out| write(out, hint));
+        }
+    }
+
+    /// After an answer: what is idle now closes when its time comes, what was doomed parts.
+    pub fn rest(&mut self, conn: ConnId, now: Duration, deadlines: &mut Deadlines<Due>) {
+        let idle = self.idle;
+        let Some(c) = self.get(conn).filter(|c| c.calls.is_empty()) else { return };
+        c.quiet = now;
+        match c.state {
+            State::Open => {
+                if let Some(idle) = idle {
+                    deadlines.set(Due::Idle(conn), now + idle);
+                }
+            }
+            State::Closing => deadlines.set(Due::Idle(conn), now + PARTING),
+            State::Doomed if c.link.waiting() == 0 => {
+                c.state = State::Parting;
+                c.link.hush();
+                deadlines.set(Due::Idle(conn), now + PARTING);
+            }
+            _ => {}
+        }
+    }
+
+    /// How long connections may stay idle from now on.
+    pub fn close_idle(&mut self, span: Duration, deadlines: &mut Deadlines<Due>) {
+        if self.idle == Some(span) {
+            return;
+        }
+        self.idle = Some(span);
+        let open = self.conns.iter().filter(|(_, c)| c.state == State::Open && c.calls.is_empty());
+        open.for_each(|(slot, c)| deadlines.set(Due::Idle(ConnId(slot.0)), c.quiet + span));
+    }
+
+    /// Tells the other side that nothing new is to come; it closes once all is answered. Unlike a close by
+    /// us this can't cross a call.
+    fn part(&mut self, conn: ConnId, now: Duration, deadlines: &mut Deadlines<Due>) {
+        if let Some(c) = self.get(conn).filter(|c| c.state == State::Open) {
+            c.state = State::Closing;
+            c.link.say(msgpack::closing);
+            self.rest(conn, now, deadlines);
+        }
+    }
+
+    pub fn part_all(&mut self, now: Duration, deadlines: &mut Deadlines<Due>) {
+        let all: Vec<ConnId> = self.conns.iter().map(|(slot, _)| ConnId(slot.0)).collect();
+        all.into_iter().for_each(|conn| self.part(conn, now, deadlines));
+    }
+
+    fn drop(&mut self, conn: ConnId, on_loop: &Loop, deadlines: &mut Deadlines<Due>) {
+        deadlines.clear(Due::Idle(conn));
+        if let Some(c) = self.conns.remove(Slot(conn.0)) {
+            c.link.close(on_loop);
+        }
+    }
+}
+
+/// What an edge node says, on one connection, at one moment.
+struct Hear<'a> {
+    server: &'a mut Server,
+    conn: ConnId,
+}
+
+impl Edge for Hear<'_> {
+    fn asked(&mut self, call: u32, method: &str, fields: &Fields, body: &[u8]) {
+        if !self.server.open_call(self.conn, call) {
+            return;
+        }
+        let seat = Seat { conn: self.conn, call };
+        let unix = Clock::unix();
+        let ask = (|| {
+            let (t0, budget) = (Duration::from_millis(fields.t0?), Duration::from_millis(fields.budget?));
+            let now = self.server.net().clock.now();
+            let lay = ago(unix, t0);
+            let left = ago(t0.checked_add(budget)?, unix);
+            let mark = match (fields.token, fields.obj) {
+                (Some(token), _) => Some(Mark::Token(token.to_string())),
+                (None, Some(obj)) => Some(Mark::Subject(method.to_string(), obj.to_string())),
+                (None, None) => None,
+            };
+            let arrival = Arrival {
+                product: method.to_string(),
+                subject: fields.obj.map(str::to_string),
+                expiry: Some(now.checked_add(left)?),
+                memory_kb: fields.mem?,
+                rank: fields.prio?,
+                caller: CallerId(fields.peer?),
+                lay,
+                ..Arrival::default()
+            };
+            Some((now, Ask { rid: Rid::new(fields.rid?)?, mark, arrival, body }))
+        })();
+        match ask {
+            Some((now, ask)) => self.server.asked(now, seat, ask),
+            None => {
+                log::warn!("a call of {method:?} with fields that are missing or make no sense");
+                self.server.refuse(seat, false);
+            }
+        }
+    }
+
+    fn checked(&mut self, call: u32) {
+        let good = self.server.fit();
+        let mut net = self.server.net();
+        let hint = net.edge.hint;
+        if let Some(conn) = net.edge.get(self.conn) {
+            conn.link.say(|out| msgpack::check(out, call, good, hint));
+        }
+    }
+
+    fn interrupted(&mut self, call: u32) {
+        let seat = Seat { conn: self.conn, call };
+        let open = self.server.net().edge.get(self.conn).is_some_and(|c| c.calls.remove(&call));
+        if open {
+            self.server.caller_gone(seat);
+        }
+    }
+
+    fn senseless(&mut self, call: u32, why: &'static str) {
+        log::warn!("{why}");
+        if self.server.open_call(self.conn, call) {
+            self.server.refuse(Seat { conn: self.conn, call }, false);
+        }
+    }
+
+    fn ignored(&mut self, why: &'static str) {
+        log::warn!("{why}");
+    }
+}
+
+impl Server {
+    /// Takes the connections that wait. False when there is no room for more: the rest stays where it is.
+    pub fn accept(&mut self, listener: &TcpListener) -> bool {
+        loop {
+            if self.net().edge.full() {
+                log::warn!("no room for another connection");
+                return false;
+            }
+            match listener.accept() {
+                Ok((stream, _)) => self.take(stream),
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {}
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(e) => {
+                    log::error!("cannot accept: {e}");
+                    return false;
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, stream: TcpStream) {
+        let now = self.net().clock.now();
+        let mut net = self.net();
+        // The number comes first, since the loop must know whom to call.
+        let on_loop = net.on_loop.clone();
+        let cell = std::rc::Rc::new(std::cell::Cell::new(ConnId(0)));
+        let number = cell.clone();
+        let link = Link::new(&on_loop, stream, move |ready, server: &mut Server| {
+            if ready.writable {
+                server.edge_writable(number.get());
+            }
+            server.edge_readable(number.get());
+        });
+        let conn = match link {
+            Ok(link) => Conn { link, calls: BTreeSet::new(), state: State::Open, quiet: now },
+            Err(e) => return log::error!("cannot take a connection: {e}"),
+        };
+        if let Some(slot) = net.edge.conns.insert(conn) {
+            let conn = ConnId(slot.0);
+            cell.set(conn);
+            let net = &mut *net;
+            net.edge.rest(conn, now, &mut net.deadlines);
+        }
+    }
+
+    fn edge_writable(&mut self, conn: ConnId) {
+        let now = self.net().clock.now();
+        let mut net = self.net();
+        let net = &mut *net;
+        if let Some(c) = net.edge.get(conn) {
+            c.link.flush();
+            if c.state == State::Doomed {
+                net.edge.rest(conn, now, &mut net.deadlines);
+            }
+        }
+    }
+
+    pub fn edge_readable(&mut self, conn: ConnId) {
+        for _ in 0..TURNS {
+            let fill = match self.net().edge.get(conn) {
+                Some(c) if c.link.waiting() > UNSENT => return,
+                Some(c) => c.link.fill(),
+                None => return,
+            };
+            match fill {
+                Fill::More => self.edge_heard(conn),
+                Fill::Dry => return,
+                Fill::End => return self.edge_lost(conn),
+            }
+        }
+        self.net().again.insert(conn);
+    }
+
+    fn edge_heard(&mut self, conn: ConnId) {
+        let input = match self.net().edge.get(conn) {
+            Some(c) => std::mem::take(&mut c.link.input),
+            None => return,
+        };
+        let mut taken = 0;
+        let broken = loop {
+            let state = self.net().edge.get(conn).map(|c| c.state);
+            if !matches!(state, Some(State::Open | State::Closing)) {
+                // What comes after the break is not read.
+                taken = input.len();
+                break None;
+            }
+            match msgpack::read(&input[taken..], &mut Hear { server: self, conn }) {
+                Ok(Some(n)) => taken += n,
+                Ok(None) => break None,
+                Err(broken) => break Some(broken.0),
+            }
+        };
+        if let Some(c) = self.net().edge.get(conn) {
+            c.link.input = keep_rest(input, taken);
+        }
+        if let Some(why) = broken {
+            self.doom(conn, why);
+        }
+    }
+
+    /// This connection alone closes, once all that is owed on it is settled.
+    fn doom(&mut self, conn: ConnId, why: &str) {
+        log::warn!("a connection closes: {why}");
+        let now = self.net().clock.now();
+        let mut net = self.net();
+        let net = &mut *net;
+        if let Some(c) = net.edge.get(conn) {
+            c.state = State::Doomed;
+            c.link.input = Vec::new();
+            net.edge.rest(conn, now, &mut net.deadlines);
+        }
+    }
+
+    /// Notes a call as open. One that can't be is a break of the protocol.
+    fn open_call(&mut self, conn: ConnId, call: u32) -> bool {
+        let why = match self.net().edge.get(conn) {
+            None => return false,
+            Some(c) if c.calls.len() >= OPEN => "too many calls open",
+            Some(c) => match c.calls.insert(call) {
+                true => return true,
+                false => "an id that is open already",
+            },
+        };
+        self.doom(conn, why);
+        false
+    }
+
+    /// Answers without the module: for what makes no sense, or came when nothing can run.
+    fn refuse(&mut self, seat: Seat, never_ran: bool) {
+        let now = self.net().clock.now();
+        let mut net = self.net();
+        let net = &mut *net;
+        net.edge.answer(seat, |out, hint| match never_ran {
+            true => msgpack::declined(out, seat.call, hint, None, false),
+            false => msgpack::voided(out, seat.call, hint),
+        });
+        net.edge.rest(seat.conn, now, &mut net.deadlines);
+    }
+
+    fn asked(&mut self, now: Duration, seat: Seat, ask: Ask) {
+        match &mut self.core {
+            Some(core) => core.txn_read(now, seat, ask),
+            None => self.refuse(seat, true),
+        }
+    }
+
+    fn caller_gone(&mut self, seat: Seat) {
+        let now = self.net().clock.now();
+        if let Some(core) = &mut self.core {
+            core.caller_gone(now, seat);
+        }
+        let mut net = self.net();
+        let net = &mut *net;
+        net.edge.rest(seat.conn, now, &mut net.deadlines);
+    }
+
+    fn edge_lost(&mut self, conn: ConnId) {
+        let now = self.net().clock.now();
+        {
+            let mut net = self.net();
+            let net = &mut *net;
+            net.edge.drop(conn, &net.on_loop, &mut net.deadlines);
+        }
+        if let Some(core) = &mut self.core {
+            core.conn_lost(now, conn);
+        }
+        self.listen_again();
+    }
+
+    /// A connection has been idle for its time, or was told to close and has not been closed.
+    pub fn edge_idle(&mut self, conn: ConnId) {
+        let now = self.net().clock.now();
+        let gone = {
+            let mut net = self.net();
+            let net = &mut *net;
+            match net.edge.get(conn).map(|c| (c.state, c.calls.is_empty())) {
+                Some((State::Open, true)) => {
+                    net.edge.part(conn, now, &mut net.deadlines);
+                    false
+                }
+                Some((State::Closing | State::Parting, true)) => true,
+                _ => false,
+            }
+        };
+        if gone {
+            // Not without a last look at what may have come.
+            self.edge_readable(conn);
+            let idle = self.net().edge.get(conn).is_some_and(|c| c.calls.is_empty());
+            if idle {
+                self.edge_lost(conn);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/aldercrank-server/src/net/members.rs
@@ -0,0 +1,112 @@
+//! Reports to the membership service, often enough that no entry lapses, and at once when the word changes.
+
+use super::link::{Fill, Link};
+use super::{Due, Server};
+use crate::{http, members};
+use std::time::Duration;
+
+/// Between tries while the service can't be reached.
+const RETRY: Duration = Duration::from_millis(200);
+
+#[derive(Default)]
+pub struct Reports {
+    link: Option<Link>,
+    /// The word that is out, and the one that was taken last.
+    out: Option<bool>,
+    taken: Option<bool>,
+}
+
+impl Server {
+    /// The time to report has come; one that is still out by then is given up.
+    pub fn report(&mut self) {
+        let fit = self.fit();
+        let mut net = self.net();
+        let net = &mut *net;
+        if net.reports.out.take().is_some() {
+            if let Some(link) = net.reports.link.take() {
+                log::warn!("the membership service does not answer");
+                link.close(&net.on_loop);
+            }
+        }
+        let now = net.clock.now();
+        net.deadlines.set(Due::Report, now + members::EVERY);
+        let alive = |link: &mut Link| link.fill() == Fill::Dry;
+        if net.reports.link.as_mut().is_some_and(|link| !alive(link)) {
+            if let Some(link) = net.reports.link.take() {
+                link.close(&net.on_loop);
+            }
+        }
+        if net.reports.link.is_none() {
+            let dialled = Link::dial(&net.on_loop, net.members_addr, |_, server: &mut Server| {
+                server.report_ready();
+            });
+            match dialled {
+                Ok(link) => net.reports.link = Some(link),
+                Err(e) => {
+                    log::warn!("the membership service can't be reached: {e}");
+                    return net.deadlines.set(Due::Report, now + RETRY);
+                }
+            }
+        }
+        if let Some(link) = &mut net.reports.link {
+            let report = members::report(&net.members_addr.to_string(), &net.name, fit);
+            link.input.clear();
+            link.say(|out| out.extend(report));
+            net.reports.out = Some(fit);
+        }
+    }
+
+    fn report_ready(&mut self) {
+        let fit = self.fit();
+        let mut net = self.net();
+        let net = &mut *net;
+        let Some(link) = &mut net.reports.link else { return };
+        let lost = link.connected().is_err() || {
+            link.flush();
+            loop {
+                match link.fill() {
+                    Fill::More => {}
+                    Fill::Dry => break false,
+                    Fill::End => break true,
+                }
+            }
+        };
+        let reply = http::reply(&link.input);
+        let keep = !lost && matches!(&reply, Ok(None)) || matches!(&reply, Ok(Some(r)) if r.keep && !lost);
+        if let Ok(Some(reply)) = &reply {
+            link.input.clear();
+            match net.reports.out.take() {
+                Some(word) if reply.status == 204 => {
+                    if net.reports.taken.replace(word) != Some(word) {
+                        log::info!("listed as {}", if word { "UP" } else { "OUT" });
+                    }
+                    // It changed on the way.
+                    if word != fit {
+                        let now = net.clock.now();
+                        net.deadlines.set(Due::Report, now);
+                    }
+                }
+                _ => log::warn!("the membership service answered {}", reply.status),
+            }
+        }
+        if !keep {
+            if let Some(link) = net.reports.link.take() {
+                link.close(&net.on_loop);
+            }
+            if net.reports.out.take().is_some() {
+                log::warn!("a report to the membership service was lost");
+                let at = net.clock.now() + RETRY;
+                net.deadlines.set(Due::Report, at);
+            }
+        }
+    }
+
+    /// The word has changed: it is told at once, or as soon as the report that is out is answered.
+    pub fn report_soon(&mut self) {
+        let mut net = self.net();
+        if net.reports.out.is_none() {
+            let now = net.clock.now();
+            net.deadlines.set(Due::Report, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -0,0 +1,318 @@
+//! The sockets: one loop on one thread, with everything that it serves.
+
+mod edge;
+mod index;
+mod link;
+mod members;
+mod pool;
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::core::{ConnId, Core, Ports, Reminder, Seat, RESULTS_SHARE};
+use crate::deadlines::Deadlines;
+use crate::phase::Phase;
+use crate::pool::Rid;
+use crate::{msgpack, pool as words};
+use aldercrank::{Settings, TxnId};
+use calloop::generic::Generic;
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, Interest, Mode, PostAction, RegistrationToken};
+use link::Loop;
+use std::cell::{RefCell, RefMut};
+use std::collections::BTreeSet;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Of the sockets that are allowed: how many edge nodes may have, and how many calls. The rest is for the
+/// other links and the loop itself.
+const EDGE_SHARE: f64 = 0.7;
+const CALLS_SHARE: f64 = 0.2;
+/// The last part of the time until the stop, in which connections close.
+const LAST_PART: f64 = 0.1;
+/// The longest that the loop sleeps.
+const NAP: Duration = Duration::from_secs(1);
+
+/// Everything that has a deadline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    Core(Reminder),
+    Idle(ConnId),
+    Call(TxnId),
+    CallIdle(index::CallConn),
+    PoolDial,
+    Report,
+    /// While draining: nothing new is run any more; and the end.
+    Quiet,
+    Stop,
+}
+
+/// What the sockets share.
+pub struct Net {
+    on_loop: Loop,
+    clock: Clock,
+    deadlines: Deadlines<Due>,
+    name: String,
+    pool_addr: SocketAddr,
+    index_addr: SocketAddr,
+    members_addr: SocketAddr,
+    edge: edge::Conns,
+    pool: pool::PoolLink,
+    calls: index::Calls,
+    reports: members::Reports,
+    /// Connections that may have more to read.
+    again: BTreeSet<ConnId>,
+    pool_again: bool,
+    /// What the module says of its health.
+    good: bool,
+    good_changed: bool,
+}
+
+/// How the core reaches the sockets.
+pub struct Ways(Rc<RefCell<Net>>);
+
+impl Ways {
+    fn answer(&mut self, seat: Seat, write: impl FnOnce(&mut Vec<u8>, Option<f64>)) {
+        let mut net = self.0.borrow_mut();
+        let net = &mut *net;
+        net.edge.answer(seat, write);
+        net.edge.rest(seat.conn, net.clock.now(), &mut net.deadlines);
+    }
+}
+
+impl Ports for Ways {
+    fn settle(&mut self, seat: Seat, result: &[u8]) {
+        self.answer(seat, |out, hint| msgpack::settled(out, seat.call, result, hint));
+    }
+    fn decline(&mut self, seat: Seat, back_in: Option<Duration>, last: bool) {
+        self.answer(seat, |out, hint| msgpack::declined(out, seat.call, hint, back_in, last));
+    }
+    fn void(&mut self, seat: Seat) {
+        self.answer(seat, |out, hint| msgpack::voided(out, seat.call, hint));
+    }
+    fn spawn(&mut self, rid: Rid, product: &str, body: &[u8]) {
+        self.0.borrow_mut().pool.say(|out| words::spawn(out, rid, product, body));
+    }
+    fn suspend(&mut self, rid: Rid) {
+        self.0.borrow_mut().pool.say(|out| words::suspend(out, rid));
+    }
+    fn supply(&mut self, rid: Rid, reply: &[u8]) {
+        self.0.borrow_mut().pool.say(|out| words::supply(out, rid, reply));
+    }
+    fn pass(&mut self, rid: Rid, notice: u64) {
+        self.0.borrow_mut().pool.say(|out| words::pass(out, rid, notice));
+    }
+    fn poll(&mut self, tag: u64) {
+        self.0.borrow_mut().pool.say(|out| words::poll(out, tag));
+    }
+    fn call(&mut self, txn: TxnId, rid: Rid, body: &[u8], give_up: Duration) {
+        self.0.borrow_mut().call(txn, rid, body, give_up);
+    }
+    fn hang_up(&mut self, txn: TxnId) {
+        self.0.borrow_mut().hang_up(txn);
+    }
+    fn health(&mut self, good: bool) {
+        let mut net = self.0.borrow_mut();
+        net.good_changed |= std::mem::replace(&mut net.good, good) != good;
+    }
+    fn close_idle(&mut self, span: Duration) {
+        let mut net = self.0.borrow_mut();
+        let net = &mut *net;
+        net.edge.close_idle(span, &mut net.deadlines);
+    }
+    fn advertise(&mut self, value: f64) {
+        self.0.borrow_mut().edge.hint = Some(value);
+    }
+    fn remind(&mut self, what: Reminder, after: Duration) {
+        let mut net = self.0.borrow_mut();
+        let at = net.clock.now() + after;
+        net.deadlines.set(Due::Core(what), at);
+    }
+}
+
+/// What the loop hands to each of its sources.
+pub struct Server {
+    net: Rc<RefCell<Net>>,
+    core: Option<Core<Ways>>,
+    phase: Phase,
+    settings: Settings,
+    room: usize,
+    stop: Duration,
+    listener: Option<Rc<TcpListener>>,
+    listening: Option<RegistrationToken>,
+    full: bool,
+}
+
+impl Server {
+    fn net(&self) -> RefMut<'_, Net> {
+        self.net.borrow_mut()
+    }
+
+    fn ways(&self) -> Ways {
+        Ways(self.net.clone())
+    }
+
+    /// What health checks and the membership service hear.
+    fn fit(&self) -> bool {
+        self.phase.serving() && self.net().good
+    }
+
+    /// There is room again for connections that were left waiting.
+    fn listen_again(&mut self) {
+        if let Some(token) = self.listening.filter(|_| std::mem::take(&mut self.full)) {
+            if let Err(e) = self.net().on_loop.enable(&token) {
+                log::error!("cannot listen again: {e}");
+            }
+        }
+    }
+
+    fn due(&mut self, what: Due) {
+        let now = self.net().clock.now();
+        match what {
+            Due::Core(reminder) => {
+                if let Some(core) = &mut self.core {
+                    core.reminded(now, reminder);
+                }
+            }
+            Due::Idle(conn) => self.edge_idle(conn),
+            Due::Call(txn) => self.call_due(txn),
+            Due::CallIdle(conn) => self.net().call_idle(conn),
+            Due::PoolDial => self.pool_dial(),
+            Due::Report => self.report(),
+            Due::Quiet => self.quiet(now),
+            Due::Stop => {
+                self.phase.done();
+            }
+        }
+    }
+
+    /// The notice to leave.
+    fn told_to_leave(&mut self) {
+        let now = self.net().clock.now();
+        let last_part = self.stop.mul_f64(LAST_PART);
+        let stop = now + self.stop - last_part;
+        let grace = self.settings.span("rules.stop_sending_within").unwrap_or_default();
+        let quiet = (now + grace).min(stop);
+        if !self.phase.told_to_leave(quiet, stop) {
+            return;
+        }
+        self.net().deadlines.set(Due::Quiet, quiet);
+        self.net().deadlines.set(Due::Stop, stop + last_part / 2);
+        if let Some(core) = &mut self.core {
+            core.drain(now, stop);
+            self.report_soon();
+        } else {
+            self.quiet(now);
+        }
+    }
+
+    /// Nothing that comes from here on is run: a refused connection says so best.
+    fn quiet(&mut self, now: Duration) {
+        if let Some(listener) = self.listener.take() {
+            self.accept(&listener);
+            if let Some(token) = self.listening.take() {
+                self.net().on_loop.remove(token);
+            }
+        }
+        let mut net = self.net();
+        let net = &mut *net;
+        net.edge.part_all(now, &mut net.deadlines);
+    }
+
+    /// Whether a server that is leaving has nothing left to do.
+    fn finished(&self) -> bool {
+        let owes = self.core.as_ref().is_some_and(|core| core.owed() > 0);
+        self.phase.draining() && self.listener.is_none() && !owes && self.net().edge.is_empty()
+    }
+
+    /// One turn after the loop's: what has more to read, what is due, what has changed.
+    fn turn(&mut self) {
+        let again = std::mem::take(&mut self.net().again);
+        again.into_iter().for_each(|conn| self.edge_readable(conn));
+        if std::mem::take(&mut self.net().pool_again) {
+            self.pool_readable();
+        }
+        loop {
+            let what = {
+                let mut net = self.net();
+                let now = net.clock.now();
+                net.deadlines.due(now)
+            };
+            let Some(what) = what else { break };
+            self.due(what);
+        }
+        if std::mem::take(&mut self.net().good_changed) {
+            log::info!("health {}", if self.fit() { "good" } else { "bad" });
+            self.report_soon();
+        }
+        if self.finished() {
+            self.phase.done();
+        }
+    }
+
+    fn nap(&self) -> Duration {
+        let net = self.net();
+        if !net.again.is_empty() || net.pool_again {
+            return Duration::ZERO;
+        }
+        let next = net.deadlines.next().map(|at| at.saturating_sub(net.clock.now()));
+        next.map_or(NAP, |span| span.min(NAP))
+    }
+}
+
+/// Serves until the notice to leave has been followed.
+pub fn serve(config: Config) -> std::io::Result<()> {
+    let mut events: EventLoop<'static, Server> = EventLoop::try_new()?;
+    let on_loop = events.handle();
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT])?;
+    on_loop.insert_source(signals, |_, _, server| server.told_to_leave()).map_err(|e| e.error)?;
+    let listener = Rc::new(TcpListener::bind(config.listen)?);
+    listener.set_nonblocking(true)?;
+    let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
+    let listening = on_loop
+        .insert_source(source, |_, listener, server| {
+            if server.accept(listener) {
+                return Ok(PostAction::Continue);
+            }
+            server.full = true;
+            Ok(PostAction::Disable)
+        })
+        .map_err(|e| e.error)?;
+    let share = |share: f64| (config.sockets as f64 * share) as usize;
+    let net = Net {
+        on_loop,
+        clock: Clock::default(),
+        deadlines: Deadlines::default(),
+        name: config.name,
+        pool_addr: config.pool,
+        index_addr: config.index,
+        members_addr: config.members,
+        edge: edge::Conns::at_most(share(EDGE_SHARE)),
+        pool: pool::PoolLink::default(),
+        calls: index::Calls::at_most(share(CALLS_SHARE)),
+        reports: members::Reports::default(),
+        again: BTreeSet::new(),
+        pool_again: false,
+        good: true,
+        good_changed: false,
+    };
+    let mut server = Server {
+        net: Rc::new(RefCell::new(net)),
+        core: None,
+        phase: Phase::Starting,
+        settings: config.settings,
+        room: (config.memory as f64 * RESULTS_SHARE) as usize,
+        stop: config.stop,
+        listener: Some(listener),
+        listening: Some(listening),
+        full: false,
+    };
+    log::info!("listening on {}", config.listen);
+    server.pool_dial();
+    while !server.phase.stopped() {
+        let nap = server.nap();
+        events.dispatch(nap, &mut server)?;
+        server.turn();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/aldercrank-server/src/pool.rs
@@ -0,0 +1,142 @@
+//! The worker pool's lines, apart from sockets: one method of `Pool` for each thing that it says.
+
+use aldercrank::Outcome;
+use std::time::Duration;
+
+/// The longest line, and the longest bytes after one, that are taken.
+const LINE: usize = 16 * 1024;
+const BYTES: usize = 256 * 1024;
+
+/// A txn's id as the edge and the worker pool write it.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rid([u8; 16]);
+
+impl Rid {
+    pub fn new(text: &str) -> Option<Rid> {
+        let bytes: [u8; 16] = text.as_bytes().try_into().ok()?;
+        bytes.iter().all(u8::is_ascii_hexdigit).then_some(Rid(bytes))
+    }
+}
+
+impl std::fmt::Display for Rid {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str(std::str::from_utf8(&self.0).unwrap_or_default())
+    }
+}
+
+impl std::fmt::Debug for Rid {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{self}")
+    }
+}
+
+pub trait Pool {
+    fn bound(&mut self, cold: bool, age: Duration);
+    /// Notices count up; each of these three carries its number.
+    fn finished(&mut self, notice: u64, rid: Rid, how: Outcome, took: Duration, result: &[u8]);
+    fn blocked(&mut self, notice: u64, rid: Rid, body: &[u8]);
+    fn chatter(&mut self, notice: u64);
+    fn polled(&mut self, tag: u64, gauges: &[f64]);
+    fn unknown(&mut self, command: &str, id: &str);
+    fn nonsense(&mut self, line: &str);
+}
+
+/// Reads what comes, however it is cut.
+#[derive(Default)]
+pub struct Reader {
+    /// In a line that is too long to be kept.
+    skipping: bool,
+}
+
+impl Reader {
+    /// Reads one message off the front. Gives its length, or nothing while it is not whole.
+    pub fn read(&mut self, buf: &[u8], pool: &mut impl Pool) -> Option<usize> {
+        let Some(end) = buf.windows(2).position(|two| two == b"\r\n") else {
+            if buf.len() <= LINE {
+                return None;
+            }
+            // All but the last byte, which may be half of the line's end.
+            self.skipping = true;
+            return Some(buf.len() - 1);
+        };
+        if std::mem::take(&mut self.skipping) || end > LINE {
+            pool.nonsense("a line over the limit");
+            return Some(end + 2);
+        }
+        let line = String::from_utf8_lossy(&buf[..end]);
+        let words: Vec<&str> = line.split(' ').filter(|w| !w.is_empty()).collect();
+        let carries = matches!(words.first(), Some(&"finished" | &"blocked"));
+        let length = words.last().filter(|_| carries).and_then(|w| w.parse::<usize>().ok());
+        let length = length.filter(|n| *n <= BYTES);
+        let after = match length {
+            Some(n) if buf.len() < end + 2 + n + 2 => return None,
+            Some(n) => &buf[end + 2..end + 2 + n],
+            None => &[],
+        };
+        if say(&words, length.map(|_| after), pool).is_none() {
+            pool.nonsense(&line.chars().take(80).collect::<String>());
+        }
+        Some(end + 2 + length.map_or(0, |n| n + 2))
+    }
+}
+
+fn say(words: &[&str], after: Option<&[u8]>, pool: &mut impl Pool) -> Option<()> {
+    match words {
+        ["bound", state, age, ..] => {
+            pool.bound(*state == "cold", span(age)?);
+        }
+        ["finished", n, id, end, took, _] => {
+            let how = match *end {
+                "ok" => Outcome::Completed,
+                "halted" => Outcome::Recalled,
+                "void" => Outcome::Superseded,
+                _ => Outcome::Errored,
+            };
+            pool.finished(n.parse().ok()?, Rid::new(id)?, how, span(took)?, after?);
+        }
+        ["blocked", n, id, _] => pool.blocked(n.parse().ok()?, Rid::new(id)?, after?),
+        ["polled", tag, gauges @ ..] => {
+            let gauges: Vec<f64> = gauges.iter().map(|g| g.parse().unwrap_or_default()).collect();
+            pool.polled(tag.parse().ok()?, &gauges);
+        }
+        ["unknown", command, id, ..] => pool.unknown(command, id),
+        ["unknown", command] => pool.unknown(command, ""),
+        ["chatter", n, ..] => pool.chatter(n.parse().ok()?),
+        _ => return None,
+    }
+    Some(())
+}
+
+/// Milliseconds, with or without a fraction.
+fn span(text: &str) -> Option<Duration> {
+    let ms: f64 = text.parse().ok()?;
+    Duration::try_from_secs_f64(ms / 1e3).ok()
+}
+
+pub fn bind(into: &mut Vec<u8>, last: u64) {
+    into.extend(format!("bind {last}\r\n").bytes());
+}
+
+pub fn spawn(into: &mut Vec<u8>, rid: Rid, product: &str, body: &[u8]) {
+    into.extend(format!("spawn {rid} {product} {}\r\n", body.len()).bytes());
+    into.extend(body);
+    into.extend(b"\r\n");
+}
+
+pub fn suspend(into: &mut Vec<u8>, rid: Rid) {
+    into.extend(format!("suspend {rid}\r\n").bytes());
+}
+
+pub fn supply(into: &mut Vec<u8>, rid: Rid, reply: &[u8]) {
+    into.extend(format!("supply {rid} {}\r\n", reply.len()).bytes());
+    into.extend(reply);
+    into.extend(b"\r\n");
+}
+
+pub fn pass(into: &mut Vec<u8>, rid: Rid, notice: u64) {
+    into.extend(format!("pass {rid} {notice}\r\n").bytes());
+}
+
+pub fn poll(into: &mut Vec<u8>, tag: u64) {
+    into.extend(format!("poll {tag}\r\n").bytes());
+}
