The backend's tests: codecs, core beside a plain model, sockets; and what they found

Found by writing them: a key taken over by a later try kept the old result's bytes and its slot; a go-on-without lost with the link was not said again; a spawn of unknown fate whose caller had gone kept its place for good.

--- a/crates/aldercrank-server/src/core.rs
+++ b/crates/aldercrank-server/src/core.rs
@@ -98,6 +98,8 @@
     called: Option<Duration>,
     /// What to tell a run that waits, once the link is back: the reply, or to go on without.
     unsaid: Option<Option<Rc<[u8]>>>,
+    /// The last word to it was to go on without, which names the call and may be said twice.
+    passed: bool,
     joined: Duration,
     waiters: Vec<TxnId>,
 }
@@ -208,7 +210,18 @@
             (None, Some((notice, _))) => self.ports.pass(txn.rid, *notice),
             (None, None) => {}
         }
-        txn.heard = Heard::By(tag + 1);
+        (txn.heard, txn.passed) = (Heard::By(tag + 1), reply.is_none());
+    }
+
+    /// Nobody waits for it any more. What does not run is over, and so is a run that the pool never heard of.
+    fn unwanted(&mut self, id: TxnId) {
+        let after = self.tick * AFTER_ANSWER;
+        match self.txn(id).map(|t| (t.stage, t.heard)) {
+            Some((Stage::Running, Heard::Unsaid)) => self.unsay(id),
+            Some((Stage::Running, Heard::Unknown)) => self.ports.remind(Reminder::Fate(id), after),
+            Some((Stage::Running, _)) | None => {}
+            Some(_) => self.over(id),
+        }
     }
 
     /// A run that was never said ends here and now.
@@ -224,7 +237,8 @@
         let Some(txn) = self.txn(id).filter(|t| t.stage == Stage::Held) else { return };
         txn.stage = Stage::Running;
         if let Some(mark) = txn.mark.clone() {
-            self.keys.started(&mark, id);
+            let before = self.keys.started(&mark, id);
+            before.into_iter().for_each(|b| self.release(b));
         }
         self.say_spawn(id);
     }
@@ -250,13 +264,7 @@
         if let Some(seat) = self.seat(id) {
             self.ports.void(seat);
         }
-        let after = self.tick * AFTER_ANSWER;
-        match self.txn(id).map(|t| (t.stage, t.heard)) {
-            Some((Stage::Running, Heard::Unsaid)) => self.unsay(id),
-            Some((Stage::Running, Heard::Unknown)) => self.ports.remind(Reminder::Fate(id), after),
-            Some((Stage::Running, _)) | None => {}
-            Some(_) => self.over(id),
-        }
+        self.unwanted(id);
     }
 
     fn keep(&mut self, id: TxnId, span: Duration) {
@@ -358,6 +366,11 @@
         &mut self.brain.host.ports
     }
 
+    /// Txns that are held or run.
+    pub fn in_hand(&self) -> usize {
+        self.brain.host.rids.len()
+    }
+
     /// Txns that an answer is owed to.
     pub fn owed(&self) -> usize {
         self.brain.host.seats.len()
@@ -442,6 +455,7 @@
             blocked: None,
             called: None,
             unsaid: None,
+            passed: false,
             joined: now,
             waiters: Vec::new(),
         };
@@ -460,14 +474,8 @@
         let Some(id) = hands.seats.remove(&seat) else { return };
         let Some(txn) = hands.txn(id) else { return };
         txn.seat = None;
-        let running = txn.stage == Stage::Running;
-        if running {
-            hands.unsay(id);
-        }
         self.brain.caller_gone(now, id);
-        if !running {
-            self.brain.host.over(id);
-        }
+        self.brain.host.unwanted(id);
         self.follow();
     }
 
@@ -516,7 +524,7 @@
         };
         let Some(txn) = hands.txn(id).filter(|t| t.stage == Stage::Running) else { return };
         txn.blocked = Some((notice, body.into()));
-        (txn.heard, txn.unsaid) = (Heard::Yes, None);
+        (txn.heard, txn.unsaid, txn.passed) = (Heard::Yes, None, false);
         self.brain.call_needed(now, id);
         self.follow();
     }
@@ -547,6 +555,9 @@
         for id in ids {
             if let Some(txn) = hands.txn(id).filter(|t| matches!(t.heard, Heard::By(_))) {
                 txn.heard = Heard::Unknown;
+                if std::mem::take(&mut txn.passed) {
+                    (txn.heard, txn.unsaid) = (Heard::Yes, Some(None));
+                }
             }
         }
     }
@@ -622,7 +633,7 @@
             Reminder::Fate(id) => {
                 // Its answer has been read by now, so a run that never began does not begin: the pool says so.
                 let unknown = |t: &&mut Txn| t.stage == Stage::Running && t.heard == Heard::Unknown;
-                if hands.txn(id).filter(unknown).is_some() {
+                if hands.link == Link::Up && hands.txn(id).filter(unknown).is_some() {
                     hands.say_spawn(id);
                 }
             }
--- a/crates/aldercrank-server/src/keys.rs
+++ b/crates/aldercrank-server/src/keys.rs
@@ -61,6 +61,10 @@
     /// the repeat came to the machine, the one that ran.
     pub fn repeated(&mut self, mark: &Mark, arrived: Duration, now: Duration) -> Option<TxnId> {
         let entry = self.entry(mark).filter(|e| arrived <= e.until)?;
+        // A read may run again; one that came to nothing is no source for others.
+        if matches!(mark, Mark::Subject(..)) && entry.fate == Fate::Lost {
+            return None;
+        }
         Some(if now <= entry.until { entry.holder } else { entry.ran.unwrap_or(entry.holder) })
     }
 
@@ -97,10 +101,13 @@
         }
     }
 
-    pub fn started(&mut self, mark: &Mark, txn: TxnId) {
-        if let Some(entry) = self.entry(mark).filter(|e| e.holder == txn) {
-            (entry.ran, entry.fate) = (Some(txn), Fate::Open);
-        }
+    /// It runs. Gives the txn that ran before, whose window is over and whose result goes.
+    pub fn started(&mut self, mark: &Mark, txn: TxnId) -> Option<TxnId> {
+        let key = *self.marks.get(mark)?;
+        self.drop_result(key);
+        let entry = self.entry(mark).filter(|e| e.holder == txn)?;
+        entry.fate = Fate::Open;
+        entry.ran.replace(txn).filter(|before| *before != txn)
     }
 
     /// The run has ended, with a result where it went well.
@@ -113,7 +120,7 @@
         }
         // Only results make room. The entries stay, so that nothing runs again for want of memory.
         while self.bytes > self.room {
-            let Some(oldest) = self.results.pop_front() else { break };
+            let Some(oldest) = self.results.front().copied() else { break };
             self.drop_result(oldest);
         }
     }
@@ -126,13 +133,13 @@
         if let Some(entry) = self.entries.get_mut(Slot(key.0)) {
             if let Fate::Settled(bytes) = std::mem::replace(&mut entry.fate, Fate::Lost) {
                 self.bytes -= bytes.len();
+                self.results.retain(|k| *k != key);
             }
         }
     }
 
     fn drop_entry(&mut self, key: KeyId) {
         self.drop_result(key);
-        self.results.retain(|k| *k != key);
         if let Some(entry) = self.entries.remove(Slot(key.0)) {
             self.marks.remove(&entry.mark);
         }
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -370,7 +370,6 @@
         if let Some(core) = &mut self.core {
             core.conn_lost(now, conn);
         }
-        self.listen_again();
     }
 
     /// A connection has been idle for its time, or was told to close and has not been closed.
--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -30,6 +30,8 @@
 const CALLS_SHARE: f64 = 0.2;
 /// The last part of the time until the stop, in which connections close.
 const LAST_PART: f64 = 0.1;
+/// Until connections are taken again after there was no room.
+const LISTEN_AGAIN: Duration = Duration::from_millis(100);
 /// The longest that the loop sleeps.
 const NAP: Duration = Duration::from_secs(1);
 
@@ -41,6 +43,7 @@
     Call(TxnId),
     CallIdle(index::CallConn),
     PoolDial,
+    Listen,
     Report,
     /// While draining: nothing new is run any more; and the end.
     Quiet,
@@ -140,7 +143,6 @@
     stop: Duration,
     listener: Option<Rc<TcpListener>>,
     listening: Option<RegistrationToken>,
-    full: bool,
 }
 
 impl Server {
@@ -157,9 +159,9 @@
         self.phase.serving() && self.net().good
     }
 
-    /// There is room again for connections that were left waiting.
+    /// There may be room again for connections that were left waiting.
     fn listen_again(&mut self) {
-        if let Some(token) = self.listening.filter(|_| std::mem::take(&mut self.full)) {
+        if let Some(token) = self.listening {
             if let Err(e) = self.net().on_loop.enable(&token) {
                 log::error!("cannot listen again: {e}");
             }
@@ -178,6 +180,7 @@
             Due::Call(txn) => self.call_due(txn),
             Due::CallIdle(conn) => self.net().call_idle(conn),
             Due::PoolDial => self.pool_dial(),
+            Due::Listen => self.listen_again(),
             Due::Report => self.report(),
             Due::Quiet => self.quiet(now),
             Due::Stop => {
@@ -274,7 +277,9 @@
             if server.accept(listener) {
                 return Ok(PostAction::Continue);
             }
-            server.full = true;
+            let mut net = server.net();
+            let at = net.clock.now() + LISTEN_AGAIN;
+            net.deadlines.set(Due::Listen, at);
             Ok(PostAction::Disable)
         })
         .map_err(|e| e.error)?;
@@ -305,7 +310,6 @@
         stop: config.stop,
         listener: Some(listener),
         listening: Some(listening),
-        full: false,
     };
     log::info!("listening on {}", config.listen);
     server.pool_dial();
--- /dev/null
+++ b/crates/aldercrank-server/tests/suite/core.rs
@@ -0,0 +1,583 @@
+//! The core between fakes: the four rules on generated inputs beside a plain model, and single cases.
+
+use aldercrank::{Arrival, CallerId, Outcome, Settings, TxnId, Value};
+use aldercrank_server::core::{Ask, ConnId, Core, Ports, Reminder, Seat};
+use aldercrank_server::deadlines::Deadlines;
+use aldercrank_server::keys::Mark;
+use aldercrank_server::pool::Rid;
+use quickcheck::{Gen, QuickCheck, TestResult};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+const MS: Duration = Duration::from_millis(1);
+const WINDOW: Duration = Duration::from_millis(6000);
+
+#[derive(Clone, Debug, PartialEq)]
+enum Said {
+    Spawn(Rid, String, Vec<u8>),
+    Suspend(Rid),
+    Supply(Rid, Vec<u8>),
+    Pass(Rid, u64),
+    Poll(u64),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Run {
+    Going,
+    AtCall(u64),
+    Done,
+}
+
+#[derive(Clone, Debug)]
+enum Notice {
+    Ended(Rid, Outcome, Vec<u8>),
+    Blocked(Rid, Vec<u8>),
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    rid: Rid,
+    token: Option<u8>,
+    arrived: Duration,
+    expiry: Duration,
+    body: Vec<u8>,
+    answers: u32,
+    gone: bool,
+}
+
+/// The worker pool, the edge and the index, as plainly as they can be told.
+#[derive(Default)]
+struct World {
+    now: Duration,
+    reminders: Deadlines<Reminder>,
+    seen: BTreeMap<Seat, Seen>,
+    runs: BTreeMap<Rid, Run>,
+    began: Vec<(u8, Duration)>,
+    /// Said but not read by the pool; and heard by us up to this notice.
+    flight: VecDeque<Said>,
+    up: bool,
+    notices: Vec<Notice>,
+    heard: usize,
+    polled: VecDeque<(usize, u64)>,
+    calls: BTreeMap<TxnId, Rid>,
+    broken: Vec<String>,
+    advertised: Option<f64>,
+}
+
+impl World {
+    fn over(&self, rid: Rid) -> bool {
+        self.seen.values().any(|s| s.rid == rid && (s.answers > 0 || s.gone))
+    }
+
+    fn end(&mut self, rid: Rid, how: Outcome) {
+        self.runs.insert(rid, Run::Done);
+        let result = if how == Outcome::Completed { result(rid) } else { Vec::new() };
+        self.notices.push(Notice::Ended(rid, how, result));
+    }
+
+    fn deliver(&mut self, said: Said) {
+        match said {
+            Said::Spawn(rid, product, body) => {
+                let seen = self.seen.values().find(|s| s.rid == rid).cloned().unwrap();
+                if seen.body != body || (seen.token.is_some() != (product == "p1")) {
+                    self.broken.push(format!("{rid} came changed"));
+                }
+                match self.runs.get(&rid) {
+                    None | Some(Run::Done) if self.over(rid) => {
+                        self.notices.push(Notice::Ended(rid, Outcome::Superseded, vec![]))
+                    }
+                    Some(Run::Done) if seen.token.is_some() => self.broken.push(format!("{rid} ran twice")),
+                    None | Some(Run::Done) => self.begin(rid, &seen),
+                    Some(_) => {}
+                }
+            }
+            Said::Suspend(rid) if self.runs.get(&rid) == Some(&Run::Going) => {
+                self.end(rid, Outcome::Recalled)
+            }
+            Said::Supply(rid, reply) => {
+                if let Some(Run::AtCall(n)) = self.runs.get(&rid).copied() {
+                    if reply != n.to_string().into_bytes() {
+                        self.broken.push(format!("{rid} had the reply to another call"));
+                    }
+                    self.runs.insert(rid, Run::Going);
+                }
+            }
+            Said::Pass(rid, notice) => {
+                if self.runs.get(&rid) == Some(&Run::AtCall(notice)) {
+                    self.runs.insert(rid, Run::Going);
+                }
+            }
+            Said::Poll(tag) => self.polled.push_back((self.notices.len(), tag)),
+            Said::Suspend(_) => {}
+        }
+    }
+
+    fn begin(&mut self, rid: Rid, seen: &Seen) {
+        if let Some(token) = seen.token {
+            if self.began.iter().any(|(t, at)| *t == token && seen.arrived.saturating_sub(*at) <= WINDOW) {
+                self.broken.push(format!("token {token} ran twice"));
+            }
+            self.began.push((token, seen.arrived));
+        }
+        self.runs.insert(rid, Run::Going);
+    }
+
+    fn answer(&mut self, seat: Seat, declined: bool) {
+        let Some(seen) = self.seen.get_mut(&seat) else { return };
+        seen.answers += 1;
+        let (twice, rid) = (seen.answers > 1, seen.rid);
+        if twice {
+            self.broken.push(format!("{rid} answered twice"));
+        }
+        if declined && self.runs.contains_key(&rid) {
+            self.broken.push(format!("{rid} declined once run"));
+        }
+    }
+}
+
+fn result(rid: Rid) -> Vec<u8> {
+    format!("made for {rid}").into_bytes()
+}
+
+#[derive(Clone, Default)]
+struct Fake(Rc<RefCell<World>>);
+
+impl Fake {
+    fn say(&self, said: Said) {
+        let mut w = self.0.borrow_mut();
+        if w.up {
+            w.flight.push_back(said);
+        }
+    }
+}
+
+impl Ports for Fake {
+    fn settle(&mut self, seat: Seat, bytes: &[u8]) {
+        let mut w = self.0.borrow_mut();
+        w.answer(seat, false);
+        let seen = w.seen[&seat].clone();
+        let made = |s: &Seen| {
+            result(s.rid) == bytes && (s.rid == seen.rid || s.token == seen.token && s.token.is_some())
+        };
+        if !w.seen.values().any(made) {
+            w.broken.push(format!("{} has a result that no run made for it", seen.rid));
+        }
+    }
+    fn decline(&mut self, seat: Seat, _: Option<Duration>, _: bool) {
+        self.0.borrow_mut().answer(seat, true);
+    }
+    fn void(&mut self, seat: Seat) {
+        self.0.borrow_mut().answer(seat, false);
+    }
+    fn spawn(&mut self, rid: Rid, product: &str, body: &[u8]) {
+        self.say(Said::Spawn(rid, product.to_string(), body.to_vec()));
+    }
+    fn suspend(&mut self, rid: Rid) {
+        self.say(Said::Suspend(rid));
+    }
+    fn supply(&mut self, rid: Rid, reply: &[u8]) {
+        self.say(Said::Supply(rid, reply.to_vec()));
+    }
+    fn pass(&mut self, rid: Rid, notice: u64) {
+        self.say(Said::Pass(rid, notice));
+    }
+    fn poll(&mut self, tag: u64) {
+        self.say(Said::Poll(tag));
+    }
+    fn call(&mut self, txn: TxnId, rid: Rid, _: &[u8], _: Duration) {
+        self.0.borrow_mut().calls.insert(txn, rid);
+    }
+    fn hang_up(&mut self, txn: TxnId) {
+        self.0.borrow_mut().calls.remove(&txn);
+    }
+    fn health(&mut self, _: bool) {}
+    fn close_idle(&mut self, _: Duration) {}
+    fn advertise(&mut self, value: f64) {
+        self.0.borrow_mut().advertised = Some(value);
+    }
+    fn remind(&mut self, what: Reminder, after: Duration) {
+        let mut w = self.0.borrow_mut();
+        let at = w.now + after;
+        w.reminders.set(what, at);
+    }
+}
+
+fn settings() -> Settings {
+    let json = serde_json::json!({
+        "family_info": {"cores": 3, "memory_kb": 9000.0, "run_factor": 4.0, "advert": "share_of", "halt": "abort",
+            "calls_out": 4.0, "worth_without": [0.6, 0.0], "key_kb": 10.0, "meters": ["cpu_busy", "runnable"]},
+        "rules": {"answer_slack": 60000, "fall_multiple": 5.0, "stop_sending_within": 1000000},
+        "limits": {"retry_after": true, "max_retry_after": 1000000},
+        "profiles": [
+            {"name": "p0", "effect": "retryable", "goal_time": 1000000, "give_up": 3000000, "points": 1.0},
+            {"name": "p1", "effect": "dedup", "goal_time": 1000000, "give_up": 3000000, "points": 3.0,
+                "window": WINDOW.as_micros() as u64}]});
+    aldercrank_json::settings(&json)
+}
+
+struct Play {
+    core: Core<Fake>,
+    world: Fake,
+    next: u32,
+}
+
+impl Play {
+    fn new() -> Play {
+        let world = Fake::default();
+        let core = Core::start(settings(), Duration::ZERO, 4000, world.clone());
+        let mut play = Play { core, world, next: 0 };
+        play.bind();
+        play.flow();
+        play
+    }
+
+    fn now(&self) -> Duration {
+        self.world.0.borrow().now
+    }
+
+    fn read(&mut self, token: Option<u8>, left: Duration, lay: Duration) -> Seat {
+        self.next += 1;
+        let (now, call) = (self.now(), self.next);
+        let (arrived, expiry) = (now.saturating_sub(lay), now + left);
+        let rid = Rid::new(&format!("{call:016x}")).unwrap();
+        let seat = Seat { conn: ConnId(call % 3), call };
+        let body = vec![call as u8; 3];
+        let seen = Seen { rid, token, arrived, expiry, body: body.clone(), answers: 0, gone: false };
+        self.world.0.borrow_mut().seen.insert(seat, seen);
+        let product = if token.is_some() { "p1" } else { "p0" }.to_string();
+        let arrival = Arrival {
+            product,
+            expiry: Some(expiry),
+            memory_kb: 10.0,
+            rank: 0.9,
+            lay: now - arrived,
+            caller: CallerId(1),
+            ..Arrival::default()
+        };
+        let mark = token.map(|t| Mark::Token(t.to_string()));
+        self.core.txn_read(now, seat, Ask { rid, mark, arrival, body: &body });
+        seat
+    }
+
+    /// The pool reads what was said, and we read its notices.
+    fn flow(&mut self) {
+        for _ in 0..4 {
+            while self.world.0.borrow().up {
+                let said = self.world.0.borrow_mut().flight.pop_front();
+                let Some(said) = said else { break };
+                self.world.0.borrow_mut().deliver(said);
+            }
+            self.hear(usize::MAX);
+        }
+    }
+
+    fn hear(&mut self, most: usize) {
+        let now = self.now();
+        for _ in 0..most.min(10_000) {
+            let next = {
+                let mut w = self.world.0.borrow_mut();
+                if !w.up {
+                    return;
+                }
+                if let Some((_, tag)) = w.polled.front().copied().filter(|(after, _)| *after <= w.heard) {
+                    w.polled.pop_front();
+                    Err(tag)
+                } else if w.heard < w.notices.len() {
+                    w.heard += 1;
+                    Ok((w.heard as u64, w.notices[w.heard - 1].clone()))
+                } else {
+                    return;
+                }
+            };
+            match next {
+                Err(tag) => self.core.polled(now, tag, &[0.5, 1.0]),
+                Ok((_, Notice::Ended(rid, how, bytes))) => {
+                    self.core.run_ended(now, rid, how, MS * 100, &bytes)
+                }
+                Ok((n, Notice::Blocked(rid, body))) => self.core.call_needed(now, rid, n, &body),
+            }
+        }
+    }
+
+    /// The link breaks: of what was said, the pool has read the first `read`; what it answered last is lost.
+    fn lose(&mut self, read: usize) {
+        for _ in 0..read {
+            let said = self.world.0.borrow_mut().flight.pop_front();
+            let Some(said) = said else { break };
+            self.world.0.borrow_mut().deliver(said);
+        }
+        {
+            let mut w = self.world.0.borrow_mut();
+            w.up = false;
+            w.flight.clear();
+            w.polled.clear();
+        }
+        self.core.pool_lost();
+    }
+
+    fn bind(&mut self) {
+        if !std::mem::replace(&mut self.world.0.borrow_mut().up, true) {
+            self.core.pool_bound(self.now());
+        }
+    }
+
+    fn pass(&mut self, span: Duration) {
+        let end = self.now() + span;
+        while self.now() < end {
+            let next = self.world.0.borrow().reminders.next().unwrap_or(end).max(self.now() + MS).min(end);
+            self.world.0.borrow_mut().now = next;
+            loop {
+                let what = self.world.0.borrow_mut().reminders.due(next);
+                let Some(what) = what else { break };
+                self.core.reminded(next, what);
+            }
+            let mut w = self.world.0.borrow_mut();
+            let late = |s: &&Seen| s.answers == 0 && !s.gone && next > s.expiry + MS * 110;
+            if let Some(rid) = w.seen.values().find(late).map(|s| s.rid) {
+                w.broken.push(format!("{rid} lost"));
+            }
+        }
+    }
+
+    fn running(&self, which: u8, at: impl Fn(&Run) -> bool) -> Option<Rid> {
+        let w = self.world.0.borrow();
+        let all: Vec<Rid> = w.runs.iter().filter(|(_, r)| at(r)).map(|(rid, _)| *rid).collect();
+        all.get(usize::from(which) % all.len().max(1)).copied()
+    }
+
+    fn block(&mut self, rid: Rid) {
+        let mut w = self.world.0.borrow_mut();
+        let n = w.notices.len() as u64 + 1;
+        w.runs.insert(rid, Run::AtCall(n));
+        w.notices.push(Notice::Blocked(rid, n.to_string().into_bytes()));
+    }
+
+    fn reply(&mut self, which: u8, how: Outcome) {
+        let call = {
+            let mut w = self.world.0.borrow_mut();
+            let Some(txn) = w.calls.keys().nth(usize::from(which) % w.calls.len().max(1)).copied() else {
+                return;
+            };
+            let rid = w.calls.remove(&txn).unwrap();
+            let Some(Run::AtCall(n)) = w.runs.get(&rid).copied() else { return };
+            (txn, n.to_string().into_bytes())
+        };
+        self.core.call_ended(self.now(), call.0, how, &call.1);
+    }
+
+    fn gone(&mut self, seat: Seat) {
+        let open =
+            self.world.0.borrow_mut().seen.get_mut(&seat).map(|s| std::mem::replace(&mut s.gone, true));
+        if open == Some(false) {
+            self.core.caller_gone(self.now(), seat);
+        }
+    }
+
+    fn answers(&self, seat: Seat) -> u32 {
+        self.world.0.borrow().seen[&seat].answers
+    }
+
+    fn began(&self, token: u8) -> usize {
+        self.world.0.borrow().began.iter().filter(|(t, _)| *t == token).count()
+    }
+}
+
+type Step = (u8, u8, u16);
+
+fn step(play: &mut Play, (what, which, much): Step) {
+    use Outcome::*;
+    match what % 18 {
+        0..=4 => {
+            let token = (which % 2 == 0).then_some(which / 2 % 6);
+            play.read(token, MS * u32::from(much % 3500), MS * u32::from(much % 5) * 30);
+        }
+        5 | 6 => play.flow(),
+        7 => play.hear(usize::from(which % 3)),
+        8 | 9 => {
+            if let Some(rid) = play.running(which, |r| *r == Run::Going) {
+                let how = if much % 7 == 0 { Errored } else { Completed };
+                play.world.0.borrow_mut().end(rid, how);
+            }
+        }
+        10 => {
+            if let Some(rid) = play.running(which, |r| *r == Run::Going) {
+                play.block(rid);
+            }
+        }
+        11 => {
+            // The pool ends what waits at a call for nobody.
+            if let Some(rid) = play.running(which, |r| matches!(r, Run::AtCall(_))) {
+                if play.world.0.borrow().over(rid) {
+                    play.world.0.borrow_mut().end(rid, Recalled);
+                }
+            }
+        }
+        12 => play.reply(which, [Completed, Completed, Errored, Saturated, Severed][usize::from(much) % 5]),
+        13 => play.lose(usize::from(which % 4)),
+        14 => play.bind(),
+        15 => {
+            let seat = play.world.0.borrow().seen.keys().nth(usize::from(which)).copied();
+            seat.into_iter().for_each(|seat| play.gone(seat));
+        }
+        _ => play.pass(MS * u32::from(much % 500 + 1)),
+    }
+}
+
+fn keeps_the_rules(steps: Vec<Step>) -> TestResult {
+    let mut play = Play::new();
+    for s in steps {
+        step(&mut play, s);
+    }
+    play.bind();
+    for _ in 0..60 {
+        play.flow();
+        while let Some(rid) = play.running(0, |r| *r != Run::Done) {
+            play.world.0.borrow_mut().end(rid, Outcome::Completed);
+        }
+        play.pass(MS * 500);
+    }
+    let (owed, kept) = (play.core.owed(), play.core.in_hand());
+    let mut w = play.world.0.borrow_mut();
+    if owed + kept > 0 {
+        w.broken.push(format!("{owed} owed and {kept} still in hand when all is over"));
+    }
+    w.broken.first().map_or(TestResult::passed(), TestResult::error)
+}
+
+#[test]
+fn the_four_rules_hold_on_generated_inputs_with_links_lost() {
+    let mut tests = QuickCheck::new().tests(1200).rng(Gen::from_size_and_seed(200, 20261201));
+    tests.quickcheck(keeps_the_rules as fn(Vec<Step>) -> TestResult);
+}
+
+#[test]
+fn a_txn_is_run_and_answered_with_its_result_and_a_repeat_joins_it() {
+    let mut play = Play::new();
+    let (first, second) = (play.read(Some(1), MS * 2000, MS), play.read(Some(2), MS * 2000, MS));
+    play.flow();
+    let repeat = play.read(Some(1), MS * 2000, MS);
+    let rid = play.world.0.borrow().seen[&first].rid;
+    play.world.0.borrow_mut().end(rid, Outcome::Completed);
+    play.flow();
+    assert_eq!([first, second, repeat].map(|s| play.answers(s)), [1, 0, 1]);
+    // Long after, from the result that was kept; past the window it runs anew.
+    play.pass(MS * 5000);
+    let late = play.read(Some(1), MS * 2000, MS * 20);
+    assert_eq!((play.answers(late), play.began(1)), (1, 1));
+    play.pass(MS * 2000);
+    play.read(Some(1), MS * 2000, MS);
+    play.flow();
+    assert_eq!(play.began(1), 2);
+}
+
+#[test]
+fn a_spawn_that_may_not_have_been_heard_runs_once_and_frees_its_place_after_its_answer() {
+    for heard in [0, 9] {
+        let mut play = Play::new();
+        let (keyed, read) = (play.read(Some(1), MS * 1000, MS), play.read(None, MS * 1000, MS));
+        play.lose(heard);
+        play.bind();
+        play.flow();
+        // The read may be said again; the other is left alone until it has been voided.
+        assert_eq!(play.world.0.borrow().runs.len(), if heard > 0 { 2 } else { 1 });
+        play.pass(MS * 1200);
+        assert_eq!((play.answers(keyed), play.answers(read)), (1, 1));
+        play.pass(MS * 2000);
+        play.flow();
+        assert_eq!((play.began(1), play.core.in_hand()), (usize::from(heard > 0), usize::from(heard > 0)));
+        assert!(play.world.0.borrow().broken.is_empty());
+    }
+}
+
+#[test]
+fn what_was_never_said_is_said_once_the_link_is_back_unless_it_is_over() {
+    let mut play = Play::new();
+    play.lose(0);
+    let (long, short) = (play.read(Some(1), MS * 3000, MS), play.read(Some(2), MS * 300, MS));
+    play.pass(MS * 500);
+    assert_eq!((play.answers(long), play.answers(short)), (0, 1));
+    play.bind();
+    play.flow();
+    assert_eq!((play.began(1), play.began(2), play.core.in_hand()), (1, 0, 1));
+}
+
+#[test]
+fn a_reply_waits_for_the_link_and_a_call_left_out_is_said_again() {
+    for how in [Outcome::Completed, Outcome::Overdue] {
+        let mut play = Play::new();
+        let read = play.read(None, MS * 2500, MS);
+        play.flow();
+        let rid = play.world.0.borrow().seen[&read].rid;
+        play.block(rid);
+        play.flow();
+        if how == Outcome::Completed {
+            play.lose(0);
+            play.reply(0, how);
+        } else {
+            // Left out, but the link broke before the pool had read it.
+            play.reply(0, how);
+            play.lose(0);
+        }
+        play.bind();
+        play.flow();
+        assert_eq!(play.running(0, |r| *r == Run::Going), Some(rid), "{how:?}");
+    }
+}
+
+#[test]
+fn what_makes_no_sense_is_voided_and_nothing_is_run() {
+    let mut play = Play::new();
+    let good = play.read(Some(3), MS * 2000, MS);
+    play.flow();
+    let rid = play.world.0.borrow().seen[&good].rid;
+    for (call, product, rid, mark) in [
+        (900, "p9", Rid::new("00000000000000ff").unwrap(), None),
+        (901, "p1", Rid::new("00000000000000fe").unwrap(), None),
+        (902, "p0", rid, None),
+    ] {
+        let seat = Seat { conn: ConnId(9), call };
+        let seen = play.world.0.borrow().seen[&good].clone();
+        let odd = Seen { rid: Rid::new(&format!("{call:016}")).unwrap(), answers: 0, ..seen };
+        play.world.0.borrow_mut().seen.insert(seat, odd);
+        let arrival = Arrival { product: product.into(), expiry: Some(MS * 2000), ..Arrival::default() };
+        play.core.txn_read(play.now(), seat, Ask { rid, mark, arrival, body: &[] });
+        play.flow();
+        assert_eq!((play.answers(seat), play.world.0.borrow().runs.len()), (1, 1), "{product}");
+    }
+    // Notices for ids that were never heard of change nothing.
+    let stranger = Rid::new("ffffffffffffffff").unwrap();
+    play.core.run_ended(play.now(), stranger, Outcome::Completed, MS, b"x");
+    play.core.call_needed(play.now(), stranger, 99, b"x");
+    play.core.call_ended(play.now(), TxnId(4_000_000_000), Outcome::Completed, b"x");
+    assert_eq!((play.answers(good), play.core.owed()), (0, 1));
+}
+
+#[test]
+fn a_connection_that_is_lost_takes_its_callers_with_it_and_a_drain_leaves_nothing_owed() {
+    let mut play = Play::new();
+    let seats: Vec<Seat> = (0..9).map(|_| play.read(None, MS * 3000, MS)).collect();
+    let now = play.now();
+    play.world
+        .0
+        .borrow_mut()
+        .seen
+        .iter_mut()
+        .filter(|(s, _)| s.conn == ConnId(1))
+        .for_each(|(_, s)| s.gone = true);
+    play.core.conn_lost(now, ConnId(1));
+    let open = seats.iter().filter(|s| s.conn != ConnId(1) && play.answers(**s) == 0).count();
+    assert_eq!(play.core.owed(), open);
+    play.core.drain(now, now + MS * 1500);
+    play.pass(MS * 1100);
+    let late = play.read(None, MS * 3000, MS);
+    assert_eq!(play.answers(late), 1, "came after the grace");
+    play.pass(MS * 400);
+    assert_eq!((play.core.owed(), play.world.0.borrow().broken.len()), (0, 0));
+    let mut cfg = settings();
+    cfg.set("family_info.cold", Value::Flag(true));
+    let cold = Fake::default();
+    Core::start(cfg, Duration::ZERO, 0, cold.clone()).reminded(MS * 30, Reminder::Tick);
+    assert!(cold.0.borrow().advertised.is_some());
+}
--- /dev/null
+++ b/crates/aldercrank-server/tests/suite/sockets.rs
@@ -0,0 +1,373 @@
+//! The whole program on loopback sockets, between small stand-ins for the parties that it speaks to.
+
+use crate::codecs::{call, check, interrupt};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const LONG: Duration = Duration::from_secs(10);
+
+fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    (listener, addr)
+}
+
+/// One link of the program to the worker pool, as the test plays it.
+struct PoolEnd {
+    reader: BufReader<TcpStream>,
+}
+
+impl PoolEnd {
+    fn accept(listener: &TcpListener) -> PoolEnd {
+        let (stream, _) = listener.accept().unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        PoolEnd { reader: BufReader::new(stream) }
+    }
+
+    fn say(&mut self, text: &str) {
+        self.reader.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// The next command but polls, which are answered on the way; with the bytes that it carries.
+    fn next(&mut self) -> (Vec<String>, Vec<u8>) {
+        loop {
+            let mut line = String::new();
+            assert!(self.reader.read_line(&mut line).unwrap() > 0, "the link has closed");
+            let words: Vec<String> = line.split_whitespace().map(str::to_string).collect();
+            if words[0] == "poll" {
+                self.say(&format!("polled {} 0.1 1 0.2 3\r\n", words[1]));
+                continue;
+            }
+            let mut bytes = Vec::new();
+            if words[0] == "spawn" || words[0] == "supply" {
+                bytes = vec![0; words.last().unwrap().parse::<usize>().unwrap() + 2];
+                self.reader.read_exact(&mut bytes).unwrap();
+                bytes.truncate(bytes.len() - 2);
+            }
+            return (words, bytes);
+        }
+    }
+
+    fn bound(&mut self, last: &str) {
+        assert_eq!(self.next().0, ["bind", last]);
+        self.say("bound warm 3.5\r\n");
+    }
+
+    fn finish(&mut self, notice: u32, rid: &str, result: &[u8]) {
+        self.say(&format!("finished {notice} {rid} ok 20.5 {}\r\n", result.len()));
+        self.reader.get_mut().write_all(result).unwrap();
+        self.say("\r\n");
+    }
+}
+
+/// Takes HTTP requests, one after another on each connection, and answers as it is told.
+fn http(
+    listener: TcpListener,
+    said: Sender<String>,
+    answer: impl Fn(&str) -> Option<String> + Send + 'static + Clone,
+) {
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, said, answer) = (stream.unwrap(), said.clone(), answer.clone());
+            std::thread::spawn(move || {
+                let mut buf = Vec::new();
+                loop {
+                    let mut chunk = [0; 4096];
+                    let n = stream.read(&mut chunk).unwrap_or(0);
+                    if n == 0 {
+                        return;
+                    }
+                    buf.extend(&chunk[..n]);
+                    let text = String::from_utf8_lossy(&buf).to_string();
+                    let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+                    let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")).unwrap();
+                    if body.len() < length.parse().unwrap() {
+                        continue;
+                    }
+                    let _ = said.send(text.clone());
+                    buf.clear();
+                    match answer(&text) {
+                        Some(reply) => stream.write_all(reply.as_bytes()).unwrap(),
+                        None => return,
+                    }
+                }
+            });
+        }
+    });
+}
+
+struct Program {
+    child: Child,
+    edge: SocketAddr,
+    pool: TcpListener,
+    calls: Receiver<String>,
+    reports: Receiver<String>,
+    config: std::path::PathBuf,
+}
+
+impl Program {
+    fn start(answer: impl Fn(&str) -> Option<String> + Send + 'static + Clone) -> Program {
+        let (edge, (pool, pool_addr), (index, index_addr), (members, members_addr)) =
+            (listen().1, listen(), listen(), listen());
+        let ((say_call, calls), (say_report, reports)) = (channel(), channel());
+        http(index, say_call, answer);
+        http(members, say_report, |_| Some("HTTP/1.1 204 No Content\r\n\r\n".to_string()));
+        let product = |name: &str, effect: &str| {
+            serde_json::json!({"name": name, "effect": effect, "goal_time": 2000000, "give_up": 5000000,
+                "points": 1.0, "window": 9000000})
+        };
+        let config = serde_json::json!({
+            "name": "n1", "listen": edge, "pool": pool_addr, "members": members_addr, "index": index_addr,
+            "seed": "1", "stop_ms": 1500, "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64},
+            "settings": {
+                "family_info": {"cores": 20, "memory_kb": 9000.0, "run_factor": 4.0, "advert": "share_of",
+                    "idle": 400000, "halt": "abort", "calls_out": 4.0, "meters": ["cpu_busy", "runnable"]},
+                "rules": {"answer_slack": 60000, "fall_multiple": 5.0, "stop_sending_within": 300000},
+                "profiles": [product("map", "retryable"), product("buy", "dedup")]}});
+        let path =
+            std::env::temp_dir().join(format!("aldercrank-{}-{}.json", std::process::id(), edge.port()));
+        std::fs::write(&path, config.to_string()).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_aldercrank"))
+            .arg("serve")
+            .env("ROUTER_CONFIG", &path)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Program { child, edge, pool, calls, reports, config: path }
+    }
+
+    /// Serving, with its link to the pool.
+    fn serving(&mut self) -> PoolEnd {
+        let mut pool = PoolEnd::accept(&self.pool);
+        pool.bound("0");
+        assert!(self.reports.recv_timeout(LONG).unwrap().ends_with("{\"phase\":\"UP\"}"));
+        pool
+    }
+
+    fn connect(&self) -> Edge {
+        let until = Instant::now() + LONG;
+        loop {
+            match TcpStream::connect(self.edge) {
+                Ok(stream) => {
+                    stream.set_read_timeout(Some(LONG)).unwrap();
+                    return Edge(stream);
+                }
+                Err(e) => assert!(Instant::now() < until, "{e}"),
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    fn term(&mut self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
+    fn ended(&mut self) -> ExitStatus {
+        let until = Instant::now() + LONG;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < until, "still up");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+struct Edge(TcpStream);
+
+impl Edge {
+    fn ask(&mut self, id: u32, product: &str, rid: &str, token: Option<&str>, body: &[u8]) {
+        let t0 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis().to_string();
+        let mut fields = vec![("rid", rid), ("t0", &t0), ("peer", "4"), ("budget", "3000"), ("mem", "24.5")];
+        fields.push(("prio", "0.9"));
+        fields.extend(token.map(|t| ("token", t)));
+        self.0.write_all(&call(id, product, &fields, body)).unwrap();
+    }
+
+    /// Reads until all these parts have come, one after the other; gives what came.
+    fn hears(&mut self, parts: &[&[u8]]) -> Vec<u8> {
+        let mut all = Vec::new();
+        loop {
+            let mut at = 0;
+            let found = parts.iter().all(|part| {
+                let here = all[at..].windows(part.len()).position(|w: &[u8]| w == *part);
+                at += here.map_or(0, |h| h + part.len());
+                here.is_some()
+            });
+            if found {
+                return all;
+            }
+            let mut chunk = [0; 4096];
+            let n = self.0.read(&mut chunk).unwrap();
+            assert!(n > 0, "closed after {all:?}");
+            all.extend(&chunk[..n]);
+        }
+    }
+
+    fn closes(&mut self) -> Vec<u8> {
+        let mut all = Vec::new();
+        self.0.read_to_end(&mut all).unwrap();
+        all
+    }
+}
+
+fn rid(n: u32) -> String {
+    format!("{n:016x}")
+}
+
+fn ok(body: &str) -> Option<String> {
+    Some(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+}
+
+#[test]
+fn a_day_in_small_from_the_first_check_to_a_clean_end() {
+    let mut program = Program::start(|_| ok("reply\r\n!"));
+    let mut edge = program.connect();
+    edge.0.write_all(&check(1)).unwrap();
+    // Not fit before the pool is up.
+    edge.hears(&[&[0x94, 1, 1, 0xc0, 0x92, 0xc2]]);
+    let mut pool = program.serving();
+    edge.0.write_all(&check(2)).unwrap();
+    edge.hears(&[&[0x94, 1, 2, 0xc0, 0x92, 0xc3]]);
+    // Two txns at once, answered the other way round; the first makes a call.
+    edge.ask(3, "map", &rid(3), None, &[0, 13, 10]);
+    edge.ask(4, "buy", &rid(4), Some("t"), b"");
+    assert_eq!(pool.next(), (vec!["spawn".into(), rid(3), "map".into(), "3".into()], vec![0, 13, 10]));
+    assert_eq!(pool.next().0[1], rid(4));
+    pool.say(&format!("blocked 1 {} 2\r\n\r\n\r\n", rid(3)));
+    let asked = program.calls.recv_timeout(LONG).unwrap();
+    assert!(asked.contains(&format!("X-Parent-Id: {}\r\n", rid(3))) && asked.ends_with("\r\n\r\n\r\n"));
+    assert_eq!(pool.next(), (vec!["supply".into(), rid(3), "8".into()], b"reply\r\n!".to_vec()));
+    pool.finish(2, &rid(4), b"\xff\0four");
+    edge.hears(&[&[0x94, 1, 4, 0xc0, 0x92, 0xc4, 6], b"\xff\0four", b"hint"]);
+    // A repeat is answered from what was kept.
+    edge.ask(5, "buy", &rid(5), Some("t"), b"");
+    edge.hears(&[&[0x94, 1, 5, 0xc0, 0x92, 0xc4, 6], b"\xff\0four"]);
+    // Told to leave: listed as OUT, bad to checks, what runs is waited for, then everything closes.
+    program.term();
+    assert!(program.reports.iter().any(|r| r.ends_with("{\"phase\":\"OUT\"}")));
+    edge.0.write_all(&check(6)).unwrap();
+    edge.hears(&[&[0x94, 1, 6, 0xc0, 0x92, 0xc2]]);
+    pool.finish(3, &rid(3), b"three");
+    edge.hears(&[&[0x94, 1, 3, 0xc0, 0x92, 0xc4, 5], b"three", b"closing"]);
+    drop(edge);
+    assert!(program.ended().success());
+}
+
+#[test]
+fn a_lost_link_is_bound_from_the_last_notice_and_replayed_ones_count_once() {
+    let mut program = Program::start(|_| None);
+    let mut pool = program.serving();
+    let mut edge = program.connect();
+    (1..=3).for_each(|n| edge.ask(n, "buy", &rid(n), Some(&rid(n)), b"b"));
+    (1..=3).for_each(|n| assert_eq!(pool.next().0[1], rid(n)));
+    pool.finish(1, &rid(1), b"one");
+    edge.hears(&[b"one"]);
+    drop(pool);
+    let mut pool = PoolEnd::accept(&program.pool);
+    pool.bound("1");
+    pool.finish(1, &rid(2), b"old");
+    pool.finish(2, &rid(2), b"two");
+    pool.finish(3, &rid(9), b"for nobody");
+    pool.say("gibberish\r\nunknown spawn 77\r\n");
+    let heard = edge.hears(&[b"two"]);
+    assert!(!heard.windows(3).any(|w| w == b"old"));
+    pool.finish(4, &rid(3), b"three");
+    edge.hears(&[b"three"]);
+}
+
+#[test]
+fn a_call_that_breaks_is_not_made_again_for_what_runs_once_and_the_txn_is_voided() {
+    // The index answers the first call and breaks during the second, on the connection that was kept.
+    let mut program = Program::start(|call| if call.ends_with("good") { ok("fine") } else { None });
+    let mut pool = program.serving();
+    let mut edge = program.connect();
+    for (n, body) in [(1, "good"), (2, "evil")] {
+        edge.ask(n, "buy", &rid(n), Some(&rid(n)), b"");
+        assert_eq!(pool.next().0[0], "spawn");
+        pool.say(&format!("blocked {n} {} 4\r\n{body}\r\n", rid(n)));
+        assert!(program.calls.recv_timeout(LONG).unwrap().ends_with(body));
+        if n == 1 {
+            assert_eq!(pool.next().1, b"fine");
+        }
+    }
+    edge.hears(&[&[0x94, 1, 2, 0x92], b"Internal"]);
+    assert!(program.calls.recv_timeout(Duration::from_millis(300)).is_err(), "called twice");
+}
+
+#[test]
+fn a_broken_connection_closes_alone_once_its_answers_are_out() {
+    let mut program = Program::start(|_| None);
+    let mut pool = program.serving();
+    let (mut bad, mut crowd, mut good) = (program.connect(), program.connect(), program.connect());
+    bad.ask(1, "map", &rid(1), None, b"");
+    assert_eq!(pool.next().0[1], rid(1));
+    bad.0.write_all(&[0xc1, 0xc1]).unwrap();
+    // One call more than may be open: it is not run, and what is open is answered.
+    (1..=33).for_each(|n| crowd.ask(n, "map", &rid(100 + n), None, b""));
+    good.ask(1, "map", &rid(2), None, b"");
+    good.ask(2, "nothing", &rid(3), None, b"");
+    good.0.write_all(&interrupt(77)).unwrap();
+    good.hears(&[&[0x94, 1, 2, 0x92], b"Internal"]);
+    pool.finish(1, &rid(1), b"done");
+    assert!(bad.closes().windows(4).any(|w| w == b"done"));
+    let answers = crowd.closes().windows(2).filter(|w| *w == [0x94, 1]).count();
+    assert_eq!(answers, 32);
+    good.0.write_all(&check(9)).unwrap();
+    good.hears(&[&[0x94, 1, 9, 0xc0, 0x92, 0xc3]]);
+}
+
+#[test]
+fn idle_connections_are_told_to_close_and_one_at_work_is_not() {
+    let mut program = Program::start(|_| None);
+    let mut pool = program.serving();
+    let (mut idle, mut busy) = (program.connect(), program.connect());
+    busy.ask(1, "map", &rid(1), None, b"");
+    assert_eq!(pool.next().0[1], rid(1));
+    let told = idle.closes();
+    assert_eq!(told, [&[0x93, 2, 0xa7], b"closing".as_slice(), &[0x90]].concat());
+    pool.finish(1, &rid(1), b"late");
+    busy.hears(&[b"late", b"closing"]);
+}
+
+#[test]
+fn the_notice_before_the_pool_is_up_ends_it_cleanly_and_what_comes_too_soon_is_declined() {
+    let mut program = Program::start(|_| None);
+    let mut edge = program.connect();
+    edge.ask(1, "map", &rid(1), None, b"");
+    edge.hears(&[&[0x94, 1, 1, 0x92], b"Overloaded"]);
+    program.term();
+    edge.hears(&[b"closing"]);
+    drop(edge);
+    assert!(program.ended().success());
+}
+
+#[test]
+fn the_command_line_names_what_is_wrong_in_one_line() {
+    let run = |args: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_aldercrank"));
+        let out = command.args(args).env_remove("ROUTER_CONFIG").output().unwrap();
+        (out.status.success(), String::from_utf8(out.stdout).unwrap(), String::from_utf8(out.stderr).unwrap())
+    };
+    assert!(run(&["version"]).1.starts_with("aldercrank "));
+    for args in [["check-config", "/nowhere.json"].as_slice(), &["serve"], &["check-config", "/dev/null"]] {
+        let (fine, _, why) = run(args);
+        assert!(!fine && why.lines().count() == 1, "{args:?}: {why}");
+    }
+    let program = Program::start(|_| None);
+    let (fine, says, _) = run(&["check-config", program.config.to_str().unwrap()]);
+    assert!(fine && says.contains("n1"), "{says}");
+}
--- /dev/null
+++ b/crates/aldercrank-server/tests/suite/tables.rs
@@ -0,0 +1,120 @@
+//! Slots, deadlines, keys, phases and the configuration.
+
+use aldercrank::TxnId;
+use aldercrank_server::config::Config;
+use aldercrank_server::deadlines::Deadlines;
+use aldercrank_server::keys::{Fate, Keys, Mark};
+use aldercrank_server::logger::Logger;
+use aldercrank_server::phase::Phase;
+use aldercrank_server::slots::Slots;
+use std::time::Duration;
+
+const S: Duration = Duration::from_secs(1);
+
+#[test]
+fn a_slot_taken_again_has_another_number_and_the_old_one_reaches_nothing() {
+    let mut slots = Slots::default();
+    let (a, b) = (slots.insert('a').unwrap(), slots.insert('b').unwrap());
+    assert_eq!(slots.remove(a), Some('a'));
+    let c = slots.insert('c').unwrap();
+    assert!(a != c && slots.get(a).is_none() && slots.remove(a).is_none());
+    assert_eq!((slots.get(b), slots.get(c), slots.len()), (Some(&'b'), Some(&'c'), 2));
+    while slots.insert('x').is_some() {}
+    assert_eq!(slots.len(), 1 << 16);
+}
+
+#[test]
+fn a_deadline_set_anew_replaces_the_old_and_all_move_with_the_clock() {
+    let mut all = Deadlines::default();
+    all.set('a', S * 5);
+    all.set('b', S * 3);
+    all.set('a', S);
+    assert_eq!(
+        (all.next(), all.due(S / 2), all.due(S * 2), all.due(S * 2)),
+        (Some(S), None, Some('a'), None)
+    );
+    // The pool came up a second ago, our clock had counted two.
+    all.rebase(S * 2, S);
+    assert_eq!((all.due(S), all.due(S * 2)), (None, Some('b')));
+}
+
+#[test]
+fn a_key_links_repeats_by_arrival_and_its_window_outlives_results_that_make_room() {
+    let mut keys = Keys::new(10);
+    let (mark, other) = (Mark::Token("t".into()), Mark::Token("u".into()));
+    let (a, b, c) = (TxnId(1), TxnId(2), TxnId(3));
+    let (key, _) = keys.keep(&mark, a, S * 10).unwrap();
+    assert_eq!(keys.repeated(&mark, S * 11, S * 11), None, "came after the window");
+    assert!(keys.started(&mark, a).is_none());
+    keys.ended(&mark, a, Some(b"12345678"));
+    assert_eq!(keys.repeated(&mark, S * 9, S * 12), Some(a), "came within the window, read late");
+    assert_eq!(keys.fate(&mark), Fate::Settled(b"12345678".as_slice().into()));
+    // Another's result takes the room; the entry stays, so nothing runs again.
+    keys.keep(&other, c, S * 10).unwrap();
+    keys.started(&other, c);
+    keys.ended(&other, c, Some(b"123"));
+    assert_eq!((keys.fate(&mark), keys.repeated(&mark, S, S)), (Fate::Lost, Some(a)));
+    // One read after the window runs anew; the entry names it alone.
+    assert_eq!(keys.keep(&mark, b, S * 30).unwrap().1, None);
+    assert_eq!((keys.started(&mark, b), keys.names(&mark, a)), (Some(a), false));
+    keys.forget(&mark, b);
+    assert!(keys.names(&mark, b), "what has run is not forgotten");
+    assert_eq!((keys.ends(key, S), keys.lapse(key)), (Some(S * 31), vec![b, b]));
+    assert_eq!(keys.repeated(&mark, S, S), None);
+    // A read whose run came to nothing is no source for others.
+    let subject = Mark::Subject("p".into(), "s".into());
+    keys.keep(&subject, a, S * 9).unwrap();
+    keys.started(&subject, a);
+    keys.ended(&subject, a, None);
+    assert_eq!(keys.repeated(&subject, S, S), None);
+}
+
+#[test]
+fn phases_follow_one_another_and_the_notice_may_come_at_any_of_them() {
+    let mut phase = Phase::Starting;
+    assert!(phase.linked() && !phase.linked() && phase.bound() && !phase.bound() && phase.serving());
+    assert!(!phase.done() && phase.told_to_leave(S, S * 2) && !phase.told_to_leave(S, S * 3));
+    assert!(!phase.bound() && !phase.linked() && phase.done() && phase.stopped());
+    let mut early = Phase::Starting;
+    assert!(early.told_to_leave(S, S) && !early.bound() && early.draining());
+}
+
+#[test]
+fn the_log_is_cut_short_place_by_place() {
+    let logger = Logger::default();
+    let admitted = (0..50).filter(|_| logger.admits("a", 1, 7).is_some()).count();
+    assert!((1..50).contains(&admitted));
+    assert_eq!(logger.admits("a", 2, 7), Some(0));
+    assert_eq!(logger.admits("a", 1, 8), Some(50 - admitted as u32), "says how many it left out");
+}
+
+#[test]
+fn a_configuration_is_taken_or_its_field_is_named() {
+    let good = r#"{"name":"n3","listen":"127.0.0.1:7001","pool":"127.0.0.1:1","members":"127.0.0.1:2",
+        "index":"127.0.0.1:3","seed":"8c","stop_ms":3200,"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+        "unheard":[1],"settings":{"profiles":[{"name":"p","odd":null}]}}"#;
+    let none = |_: &str| None;
+    let config = Config::parse(good, none).ok().unwrap();
+    assert_eq!((config.name.as_str(), config.stop, config.sockets), ("n3", S * 16 / 5, 1024));
+    for (from, to, field) in [
+        ("\"n3\"", "\"\"", "name"),
+        ("\"n3\"", "\"a b\"", "name"),
+        ("127.0.0.1:7001", "here", "listen"),
+        ("\"pool\"", "\"loop\"", "pool"),
+        ("127.0.0.1:2", "127.0.0.1", "members"),
+        ("127.0.0.1:3", "127.0.0.1:99999", "index"),
+        ("3200", "-1", "stop_ms"),
+        ("3200", "\"soon\"", "stop_ms"),
+        ("192", "0", "limits.memory_mb"),
+        ("1024", "3", "limits.sockets"),
+        ("\"limits\"", "\"bounds\"", "limits"),
+        ("\"profiles\"", "\"things\"", "settings.profiles"),
+        ("\"settings\":{", "\"settings\":7,\"s\":{", "settings"),
+        ("{\"name\"", "{{\"name\"", "not JSON"),
+    ] {
+        let why = Config::parse(&good.replace(from, to), none).err().unwrap_or_default();
+        assert!(why.contains(field) && why.lines().count() == 1, "{to}: {why}");
+    }
+    let var = |name: &str| (name == "ROUTER_NAME").then(|| "n9".to_string());
+    assert_eq!(Config::parse(&good.replacen("\"name\"", "\"title\"", 1), var).ok().unwrap().name, "n9");
+}
