A slow membership service is waited for, an id open already gets an error

Read off the code, not seen in a run: a report was given up after a second, so a service that takes longer to answer would have listed us never; it now has two thirds of the lapse. Unsent answers on a connection are held to what the memory limit carries with half of all descriptors at stuck readers.

--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -16,8 +16,11 @@
 
 /// Calls that may be open on a connection.
 const OPEN: usize = 32;
-/// A connection with more than this unsent is not read until its reader has caught up.
-const UNSENT: usize = 128 * 1024;
+/// A connection with more than this unsent is not read until its reader has caught up; with the answers to
+/// what is open by then it still stays small beside the memory.
+const UNSENT: usize = 16 * 1024;
+/// What the system may hold for it besides.
+const SENDING: usize = 32 * 1024;
 /// Reads of one connection in a row, before others have their turn.
 const TURNS: usize = 4;
 /// How long the other side has to close what was told to close.
@@ -42,6 +45,15 @@
     quiet: Duration,
 }
 
+impl Conn {
+    /// It alone closes, once all that is owed on it is settled.
+    fn doom(&mut self, why: &str) {
+        log::warn!("a connection closes: {why}");
+        self.state = State::Doomed;
+        self.link.input = Vec::new();
+    }
+}
+
 #[derive(Default)]
 pub struct Conns {
     conns: Slots<Conn>,
@@ -145,7 +157,7 @@
         let unix = Clock::unix();
         let ask = (|| {
             let (t0, budget) = (Duration::from_millis(fields.t0?), Duration::from_millis(fields.budget?));
-            let now = self.server.net().clock.now();
+            let now = self.server.now();
             let lay = ago(unix, t0);
             let left = ago(t0.checked_add(budget)?, unix);
             let mark = match (fields.token, fields.obj) {
@@ -225,12 +237,15 @@
     }
 
     fn take(&mut self, stream: TcpStream) {
-        let now = self.net().clock.now();
+        let now = self.now();
         let mut net = self.net();
         // The number comes first, since the loop must know whom to call.
         let on_loop = net.on_loop.clone();
         let cell = std::rc::Rc::new(std::cell::Cell::new(ConnId(0)));
         let number = cell.clone();
+        if let Err(e) = socket2::SockRef::from(&stream).set_send_buffer_size(SENDING) {
+            log::debug!("a connection keeps its buffer: {e}");
+        }
         let link = Link::new(&on_loop, stream, move |ready, server: &mut Server| {
             if ready.writable {
                 server.edge_writable(number.get());
@@ -250,7 +265,7 @@
     }
 
     fn edge_writable(&mut self, conn: ConnId) {
-        let now = self.net().clock.now();
+        let now = self.now();
         let mut net = self.net();
         let net = &mut *net;
         if let Some(c) = net.edge.get(conn) {
@@ -296,44 +311,38 @@
                 Err(broken) => break Some(broken.0),
             }
         };
-        if let Some(c) = self.net().edge.get(conn) {
-            c.link.input = keep_rest(input, taken);
-        }
+        let (now, mut net) = (self.now(), self.net());
+        let net = &mut *net;
+        let Some(c) = net.edge.get(conn) else { return };
+        c.link.input = keep_rest(input, taken);
         if let Some(why) = broken {
-            self.doom(conn, why);
+            c.doom(why);
+            net.edge.rest(conn, now, &mut net.deadlines);
         }
     }
 
-    /// This connection alone closes, once all that is owed on it is settled.
-    fn doom(&mut self, conn: ConnId, why: &str) {
-        log::warn!("a connection closes: {why}");
-        let now = self.net().clock.now();
-        let mut net = self.net();
+    /// Notes a call as open. One that has an id which is open already gets an error, and is not run.
+    fn open_call(&mut self, conn: ConnId, call: u32) -> bool {
+        let (now, mut net) = (self.now(), self.net());
         let net = &mut *net;
-        if let Some(c) = net.edge.get(conn) {
-            c.state = State::Doomed;
-            c.link.input = Vec::new();
+        let hint = net.edge.hint;
+        let Some(c) = net.edge.get(conn) else { return false };
+        if c.calls.len() >= OPEN {
+            c.doom("too many calls open");
             net.edge.rest(conn, now, &mut net.deadlines);
+            return false;
         }
-    }
-
-    /// Notes a call as open. One that can't be is a break of the protocol.
-    fn open_call(&mut self, conn: ConnId, call: u32) -> bool {
-        let why = match self.net().edge.get(conn) {
-            None => return false,
-            Some(c) if c.calls.len() >= OPEN => "too many calls open",
-            Some(c) => match c.calls.insert(call) {
-                true => return true,
-                false => "an id that is open already",
-            },
-        };
-        self.doom(conn, why);
-        false
+        let fresh = c.calls.insert(call);
+        if !fresh {
+            log::warn!("call {call} is open already");
+            c.link.say(|out| msgpack::voided(out, call, hint));
+        }
+        fresh
     }
 
     /// Answers without the module: for what makes no sense, or came when nothing can run.
     fn refuse(&mut self, seat: Seat, never_ran: bool) {
-        let now = self.net().clock.now();
+        let now = self.now();
         let mut net = self.net();
         let net = &mut *net;
         net.edge.answer(seat, |out, hint| match never_ran {
@@ -351,7 +360,7 @@
     }
 
     fn caller_gone(&mut self, seat: Seat) {
-        let now = self.net().clock.now();
+        let now = self.now();
         if let Some(core) = &mut self.core {
             core.caller_gone(now, seat);
         }
@@ -361,7 +370,7 @@
     }
 
     fn edge_lost(&mut self, conn: ConnId) {
-        let now = self.net().clock.now();
+        let now = self.now();
         {
             let mut net = self.net();
             let net = &mut *net;
@@ -374,7 +383,7 @@
 
     /// A connection has been idle for its time, or was told to close and has not been closed.
     pub fn edge_idle(&mut self, conn: ConnId) {
-        let now = self.net().clock.now();
+        let now = self.now();
         let gone = {
             let mut net = self.net();
             let net = &mut *net;
--- a/crates/aldercrank-server/src/net/members.rs
+++ b/crates/aldercrank-server/src/net/members.rs
@@ -2,17 +2,20 @@
 
 use super::link::{Fill, Link};
 use super::{Due, Server};
-use crate::{http, members};
+use crate::http;
+use crate::members::{self, EVERY, LAPSE};
 use std::time::Duration;
 
 /// Between tries while the service can't be reached.
 const RETRY: Duration = Duration::from_millis(200);
+/// A report without an answer for this long is given up: a slow service is waited for, within the lapse.
+const PATIENCE: Duration = Duration::from_millis(LAPSE.as_millis() as u64 * 2 / 3);
 
 #[derive(Default)]
 pub struct Reports {
     link: Option<Link>,
-    /// The word that is out, and the one that was taken last.
-    out: Option<bool>,
+    /// The word that is out, and since when; and the one that was taken last.
+    out: Option<(bool, Duration)>,
     taken: Option<bool>,
 }
 
@@ -22,14 +25,18 @@
         let fit = self.fit();
         let mut net = self.net();
         let net = &mut *net;
-        if net.reports.out.take().is_some() {
+        let now = net.clock.now();
+        if let Some((_, since)) = net.reports.out {
+            if now < since + PATIENCE {
+                return net.deadlines.set(Due::Report, since + PATIENCE);
+            }
+            log::warn!("the membership service does not answer");
+            net.reports.out = None;
             if let Some(link) = net.reports.link.take() {
-                log::warn!("the membership service does not answer");
                 link.close(&net.on_loop);
             }
         }
-        let now = net.clock.now();
-        net.deadlines.set(Due::Report, now + members::EVERY);
+        net.deadlines.set(Due::Report, now + EVERY);
         let alive = |link: &mut Link| link.fill() == Fill::Dry;
         if net.reports.link.as_mut().is_some_and(|link| !alive(link)) {
             if let Some(link) = net.reports.link.take() {
@@ -52,7 +59,7 @@
             let report = members::report(&net.members_addr.to_string(), &net.name, fit);
             link.input.clear();
             link.say(|out| out.extend(report));
-            net.reports.out = Some(fit);
+            net.reports.out = Some((fit, now));
         }
     }
 
@@ -76,15 +83,13 @@
         if let Ok(Some(reply)) = &reply {
             link.input.clear();
             match net.reports.out.take() {
-                Some(word) if reply.status == 204 => {
+                Some((word, since)) if reply.status == 204 => {
                     if net.reports.taken.replace(word) != Some(word) {
                         log::info!("listed as {}", if word { "UP" } else { "OUT" });
                     }
-                    // It changed on the way.
-                    if word != fit {
-                        let now = net.clock.now();
-                        net.deadlines.set(Due::Report, now);
-                    }
+                    // At once where it changed on the way.
+                    let next = if word == fit { since + EVERY } else { net.clock.now() };
+                    net.deadlines.set(Due::Report, next);
                 }
                 _ => log::warn!("the membership service answered {}", reply.status),
             }
--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -150,6 +150,10 @@
         self.net.borrow_mut()
     }
 
+    fn now(&self) -> Duration {
+        self.net.borrow().clock.now()
+    }
+
     fn ways(&self) -> Ways {
         Ways(self.net.clone())
     }
@@ -169,7 +173,7 @@
     }
 
     fn due(&mut self, what: Due) {
-        let now = self.net().clock.now();
+        let now = self.now();
         match what {
             Due::Core(reminder) => {
                 if let Some(core) = &mut self.core {
@@ -191,7 +195,7 @@
 
     /// The notice to leave.
     fn told_to_leave(&mut self) {
-        let now = self.net().clock.now();
+        let now = self.now();
         let last_part = self.stop.mul_f64(LAST_PART);
         let stop = now + self.stop - last_part;
         let grace = self.settings.span("rules.stop_sending_within").unwrap_or_default();
--- a/crates/aldercrank-server/src/net/pool.rs
+++ b/crates/aldercrank-server/src/net/pool.rs
@@ -49,7 +49,7 @@
 
     fn finished(&mut self, notice: u64, rid: Rid, how: Outcome, took: Duration, result: &[u8]) {
         if self.fresh(notice) {
-            let now = self.0.net().clock.now();
+            let now = self.0.now();
             if let Some(core) = &mut self.0.core {
                 core.run_ended(now, rid, how, took, result);
             }
@@ -58,7 +58,7 @@
 
     fn blocked(&mut self, notice: u64, rid: Rid, body: &[u8]) {
         if self.fresh(notice) {
-            let now = self.0.net().clock.now();
+            let now = self.0.now();
             if let Some(core) = &mut self.0.core {
                 core.call_needed(now, rid, notice, body);
             }
@@ -70,7 +70,7 @@
     }
 
     fn polled(&mut self, tag: u64, gauges: &[f64]) {
-        let now = self.0.net().clock.now();
+        let now = self.0.now();
         if let Some(core) = &mut self.0.core {
             core.polled(now, tag, gauges);
         }
@@ -194,7 +194,7 @@
             self.core = Some(core);
             self.report_soon();
         }
-        let now = self.net().clock.now();
+        let now = self.now();
         if let Some(core) = &mut self.core {
             core.pool_bound(now);
         }
--- a/crates/aldercrank-server/tests/suite/sockets.rs
+++ b/crates/aldercrank-server/tests/suite/sockets.rs
@@ -31,11 +31,28 @@
         self.reader.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
-    /// The next command but polls, which are answered on the way; with the bytes that it carries.
     fn next(&mut self) -> (Vec<String>, Vec<u8>) {
+        self.command().expect("the link has closed")
+    }
+
+    /// Runs all that comes, with the same result.
+    fn serve(mut self, result: &[u8]) {
+        let mut notice = 0;
+        while let Some((words, _)) = self.command() {
+            if words[0] == "spawn" {
+                notice += 1;
+                self.finish(notice, &words[1], result);
+            }
+        }
+    }
+
+    /// The next command but polls, which are answered on the way; with the bytes that it carries.
+    fn command(&mut self) -> Option<(Vec<String>, Vec<u8>)> {
         loop {
             let mut line = String::new();
-            assert!(self.reader.read_line(&mut line).unwrap() > 0, "the link has closed");
+            if self.reader.read_line(&mut line).unwrap_or(0) == 0 {
+                return None;
+            }
             let words: Vec<String> = line.split_whitespace().map(str::to_string).collect();
             if words[0] == "poll" {
                 self.say(&format!("polled {} 0.1 1 0.2 3\r\n", words[1]));
@@ -47,7 +64,7 @@
                 self.reader.read_exact(&mut bytes).unwrap();
                 bytes.truncate(bytes.len() - 2);
             }
-            return (words, bytes);
+            return Some((words, bytes));
         }
     }
 
@@ -321,7 +338,9 @@
     good.ask(1, "map", &rid(2), None, b"");
     good.ask(2, "nothing", &rid(3), None, b"");
     good.0.write_all(&interrupt(77)).unwrap();
-    good.hears(&[&[0x94, 1, 2, 0x92], b"Internal"]);
+    // An id that is open already: an error for the second, and the first goes on.
+    good.ask(1, "map", &rid(4), None, b"");
+    good.hears(&[&[0x94, 1, 2, 0x92], b"Internal", &[0x94, 1, 1, 0x92], b"Internal"]);
     pool.finish(1, &rid(1), b"done");
     assert!(bad.closes().windows(4).any(|w| w == b"done"));
     let answers = crowd.closes().windows(2).filter(|w| *w == [0x94, 1]).count();
@@ -371,3 +390,29 @@
     let (fine, says, _) = run(&["check-config", program.config.to_str().unwrap()]);
     assert!(fine && says.contains("n1"), "{says}");
 }
+
+#[test]
+fn a_reader_that_is_stuck_costs_only_itself_and_gets_all_once_it_reads() {
+    let mut program = Program::start(|_| None);
+    let pool = program.serving();
+    std::thread::spawn(move || pool.serve(&[7; 4096]));
+    let (mut stuck, mut good) = (program.connect(), program.connect());
+    let mut writer = Edge(stuck.0.try_clone().unwrap());
+    // As many as may be open at once.
+    let all = 32;
+    let writing =
+        std::thread::spawn(move || (1..=all).for_each(|n| writer.ask(n, "map", &rid(n), None, b"")));
+    for n in 1..=20 {
+        good.ask(n, "map", &rid(1000 + n), None, b"");
+        good.hears(&[&[0x94, 1, n as u8]]);
+    }
+    let mut heard = Vec::new();
+    let answers = |bytes: &[u8]| bytes.windows(2).filter(|w| *w == [0x94, 1]).count();
+    while answers(&heard) < all as usize {
+        let mut chunk = [0; 65536];
+        let n = stuck.0.read(&mut chunk).unwrap();
+        assert!(n > 0, "closed after {} answers", answers(&heard));
+        heard.extend(&chunk[..n]);
+    }
+    writing.join().unwrap();
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,28 @@
     Flag(bool),
 }
 
+/// What the module reads and has a default for, as numbers, texts and flags; then for each product.
+const NUMBERS: [&str; 15] = [
+    "family_info.cores",
+    "family_info.memory_kb",
+    "family_info.run_factor",
+    "family_info.key_kb",
+    "family_info.calls_out",
+    "family_info.calls_over",
+    "family_info.linger",
+    "family_info.idle",
+    "family_info.upstreams",
+    "rules.fall_multiple",
+    "rules.answer_slack",
+    "rules.cold_from",
+    "rules.warm_after",
+    "rules.stop_sending_within",
+    "limits.max_retry_after",
+];
+const TEXTS: [&str; 3] = ["family_info.halt", "family_info.advert", "family_info.meters.0"];
+const FLAGS: [&str; 2] = ["family_info.cold", "limits.retry_after"];
+const OF_A_PRODUCT: [&str; 4] = ["give_up", "goal_time", "points", "window"];
+
 /// Lists count in their names: `profiles.0.name`, `profiles.1.name`.
 #[derive(Clone, Debug, Default)]
 pub struct Settings(pub BTreeMap<String, Value>);
@@ -19,6 +41,22 @@
         self.0.insert(name.to_string(), value);
     }
 
+    /// The names of settings that the module has to do without.
+    pub fn missing(&self) -> Vec<String> {
+        let mut names: Vec<String> = Vec::new();
+        names.extend(NUMBERS.iter().filter(|n| self.num(n).is_none()).map(|n| n.to_string()));
+        names.extend(TEXTS.iter().filter(|n| self.text(n).is_none()).map(|n| n.to_string()));
+        names.extend(FLAGS.iter().filter(|n| self.flag(n).is_none()).map(|n| n.to_string()));
+        let products = (0..).take_while(|i| self.text(&format!("profiles.{i}.name")).is_some()).count();
+        for i in 0..products {
+            let of = OF_A_PRODUCT.iter().map(|field| format!("profiles.{i}.{field}"));
+            names.extend(of.filter(|name| self.num(name).is_none()));
+            let effect = format!("profiles.{i}.effect");
+            names.extend(Some(effect).filter(|name| self.text(name).is_none()));
+        }
+        names
+    }
+
     /// A number that is finite and not negative.
     pub fn num(&self, name: &str) -> Option<f64> {
         match self.0.get(name) {
