--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -187,11 +187,12 @@
     }
 
     fn checked(&mut self, call: u32) {
-        let good = self.server.fit();
-        let mut net = self.server.net();
+        let (good, now, mut net) = (self.server.fit(), self.server.now(), self.server.net());
+        let net = &mut *net;
         let hint = net.edge.hint;
         if let Some(conn) = net.edge.get(self.conn) {
             conn.link.say(|out| msgpack::check(out, call, good, hint));
+            net.edge.rest(self.conn, now, &mut net.deadlines);
         }
     }
 
--- a/crates/aldercrank-server/tests/suite/sockets.rs
+++ b/crates/aldercrank-server/tests/suite/sockets.rs
@@ -356,6 +356,13 @@
     let (mut idle, mut busy) = (program.connect(), program.connect());
     busy.ask(1, "map", &rid(1), None, b"");
     assert_eq!(pool.next().0[1], rid(1));
+    // Checks keep theirs: it is not idle.
+    let mut checks = program.connect();
+    for n in 1..=7 {
+        checks.0.write_all(&check(n)).unwrap();
+        assert!(!checks.hears(&[&[0xc0, 0x92, 0xc3]]).windows(7).any(|w| w == b"closing"));
+        std::thread::sleep(Duration::from_millis(100));
+    }
     let told = idle.closes();
     assert_eq!(told, [&[0x93, 2, 0xa7], b"closing".as_slice(), &[0x90]].concat());
     pool.finish(1, &rid(1), b"late");
