Reading by turns, a pool that is another one, and the tick that waits for its gauges

Read off the code: 512 connections ready at once kept what is due waiting for all their calls; connections are now read by turns, a tenth of the answers' slack at a time. A pool that came up after the link was lost has none of our runs: they are voided, and their places are free.

--- a/crates/aldercrank-server/src/core.rs
+++ b/crates/aldercrank-server/src/core.rs
@@ -25,8 +25,8 @@
 pub enum Reminder {
     /// The module's tick.
     Tick,
-    /// Gauges are wanted, a moment before the tick.
-    Gauges,
+    /// The gauges asked for at the tick have not come.
+    NoGauges,
     /// A kept key may go.
     Key(KeyId),
     /// A spawn whose fate is unknown may be sent again.
@@ -114,8 +114,8 @@
 
 /// How many ticks after its answer a spawn of unknown fate is sent again, to free its place.
 const AFTER_ANSWER: u32 = 30;
-/// Gauges are asked for this long before the tick, as a share of it.
-const GAUGES_BEFORE: f64 = 0.15;
+/// How long the tick waits for its gauges, as a share of it.
+const GAUGES_WAIT: f64 = 0.25;
 /// How much of the server's memory kept results may take.
 pub const RESULTS_SHARE: f64 = 0.1;
 
@@ -133,6 +133,8 @@
     link: Link,
     tag: u64,
     polling: bool,
+    /// The tick has come and waits for its gauges.
+    waking: bool,
     gauges: Vec<f64>,
     /// Ends that the module is told of once it has returned.
     ended: VecDeque<(TxnId, Outcome)>,
@@ -327,7 +329,6 @@
     fn wake(&mut self, after: Duration) {
         self.tick = after;
         self.ports.remind(Reminder::Tick, after);
-        self.ports.remind(Reminder::Gauges, after.mul_f64(1.0 - GAUGES_BEFORE));
     }
 
     fn log(&mut self, line: &str) {
@@ -359,6 +360,7 @@
             link: Link::Down,
             tag: 0,
             polling: false,
+            waking: false,
             gauges: Vec::new(),
             ended: VecDeque::new(),
         };
@@ -547,6 +549,7 @@
                 txn.heard = Heard::Yes;
             }
         }
+        self.wake(now);
         self.follow();
     }
 
@@ -565,6 +568,23 @@
         }
     }
 
+    /// The pool is another one than before: nothing runs any more.
+    pub fn pool_restarted(&mut self, now: Duration) {
+        let hands = self.at(now);
+        let ids: Vec<TxnId> = hands.rids.values().copied().collect();
+        for id in ids {
+            let ran = |t: &&mut Txn| t.stage == Stage::Running && t.heard != Heard::Unsaid;
+            if hands.txn(id).filter(ran).is_some() {
+                if let Some(seat) = hands.seat(id) {
+                    hands.ports.void(seat);
+                }
+                hands.ports.hang_up(id);
+                hands.ended.push_back((id, Outcome::Recalled));
+            }
+        }
+        self.follow();
+    }
+
     /// The link is back: notices that were missed follow, then the answer to this poll.
     pub fn pool_bound(&mut self, now: Duration) {
         let hands = self.at(now);
@@ -613,19 +633,28 @@
 
     // ---- time ----
 
+    fn wake(&mut self, now: Duration) {
+        if std::mem::take(&mut self.brain.host.waking) {
+            let gauges = self.brain.host.gauges.clone();
+            self.brain.woken(now, &gauges);
+        }
+    }
+
     pub fn reminded(&mut self, now: Duration, what: Reminder) {
         let hands = self.at(now);
         match what {
             Reminder::Tick => {
-                let gauges = hands.gauges.clone();
-                self.brain.woken(now, &gauges);
-            }
-            Reminder::Gauges => {
-                // One poll is out at a time; a new link has asked for itself.
+                // One poll is out at a time; without a link the gauges are those of before.
+                hands.waking = true;
                 if hands.link == Link::Up && !hands.polling {
                     hands.poll();
+                    let wait = hands.tick.mul_f64(GAUGES_WAIT);
+                    hands.ports.remind(Reminder::NoGauges, wait);
+                } else {
+                    self.wake(now);
                 }
             }
+            Reminder::NoGauges => self.wake(now),
             Reminder::Key(key) => {
                 let longest = hands.longest;
                 match hands.keys.ends(key, longest).filter(|end| *end > now) {
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -21,8 +21,6 @@
 const UNSENT: usize = 16 * 1024;
 /// What the system may hold for it besides.
 const SENDING: usize = 32 * 1024;
-/// Reads of one connection in a row, before others have their turn.
-const TURNS: usize = 4;
 /// How long the other side has to close what was told to close.
 const PARTING: Duration = Duration::from_secs(1);
 
@@ -41,6 +39,8 @@
     link: Link,
     calls: BTreeSet<u32>,
     state: State,
+    /// It waits for its turn to be read.
+    queued: bool,
     /// When its last call was answered.
     quiet: Duration,
 }
@@ -251,10 +251,10 @@
             if ready.writable {
                 server.edge_writable(number.get());
             }
-            server.edge_readable(number.get());
+            server.edge_turn(number.get());
         });
         let conn = match link {
-            Ok(link) => Conn { link, calls: BTreeSet::new(), state: State::Open, quiet: now },
+            Ok(link) => Conn { link, calls: BTreeSet::new(), state: State::Open, queued: false, quiet: now },
             Err(e) => return log::error!("cannot take a connection: {e}"),
         };
         if let Some(slot) = net.edge.conns.insert(conn) {
@@ -277,20 +277,44 @@
         }
     }
 
+    /// Reads a connection once; one that may have more waits for its next turn.
     pub fn edge_readable(&mut self, conn: ConnId) {
-        for _ in 0..TURNS {
-            let fill = match self.net().edge.get(conn) {
-                Some(c) if c.link.waiting() > UNSENT => return,
-                Some(c) => c.link.fill(),
-                None => return,
-            };
-            match fill {
-                Fill::More => self.edge_heard(conn),
-                Fill::Dry => return,
-                Fill::End => return self.edge_lost(conn),
+        let fill = match self.net().edge.get(conn) {
+            Some(c) if c.link.waiting() > UNSENT => return,
+            Some(c) => c.link.fill(),
+            None => return,
+        };
+        match fill {
+            Fill::More => {
+                self.edge_heard(conn);
+                self.edge_turn(conn);
+            }
+            Fill::Dry => {}
+            Fill::End => self.edge_lost(conn),
+        }
+    }
+
+    /// Puts a connection last in the row of those to be read.
+    fn edge_turn(&mut self, conn: ConnId) {
+        let mut net = self.net();
+        let Some(c) = net.edge.get(conn) else { return };
+        if !std::mem::replace(&mut c.queued, true) {
+            net.again.push_back(conn);
+        }
+    }
+
+    /// Reads connections by turns, for this long at most.
+    pub fn edge_turns(&mut self, slice: Duration) {
+        let until = self.now() + slice;
+        while self.now() < until {
+            let mut net = self.net();
+            let Some(conn) = net.again.pop_front() else { return };
+            if let Some(c) = net.edge.get(conn) {
+                c.queued = false;
             }
+            drop(net);
+            self.edge_readable(conn);
         }
-        self.net().again.insert(conn);
     }
 
     fn edge_heard(&mut self, conn: ConnId) {
--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -19,7 +19,7 @@
 use calloop::{EventLoop, Interest, Mode, PostAction, RegistrationToken};
 use link::Loop;
 use std::cell::{RefCell, RefMut};
-use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +32,8 @@
 const LAST_PART: f64 = 0.1;
 /// Until connections are taken again after there was no room.
 const LISTEN_AGAIN: Duration = Duration::from_millis(100);
+/// Of the slack that answers have: how long connections are read in a row.
+const SLICE_SHARE: f64 = 0.1;
 /// The longest that the loop sleeps.
 const NAP: Duration = Duration::from_secs(1);
 
@@ -63,8 +65,8 @@
     pool: pool::PoolLink,
     calls: index::Calls,
     reports: members::Reports,
-    /// Connections that may have more to read.
-    again: BTreeSet<ConnId>,
+    /// Connections that may have more to read, in the order of their turns.
+    again: VecDeque<ConnId>,
     pool_again: bool,
     /// What the module says of its health.
     good: bool,
@@ -141,6 +143,8 @@
     settings: Settings,
     room: usize,
     stop: Duration,
+    /// How long connections are read before what is due has its turn.
+    slice: Duration,
     listener: Option<Rc<TcpListener>>,
     listening: Option<RegistrationToken>,
 }
@@ -234,8 +238,7 @@
 
     /// One turn after the loop's: what has more to read, what is due, what has changed.
     fn turn(&mut self) {
-        let again = std::mem::take(&mut self.net().again);
-        again.into_iter().for_each(|conn| self.edge_readable(conn));
+        self.edge_turns(self.slice);
         if std::mem::take(&mut self.net().pool_again) {
             self.pool_readable();
         }
@@ -300,11 +303,12 @@
         pool: pool::PoolLink::default(),
         calls: index::Calls::at_most(share(CALLS_SHARE)),
         reports: members::Reports::default(),
-        again: BTreeSet::new(),
+        again: VecDeque::new(),
         pool_again: false,
         good: true,
         good_changed: false,
     };
+    let slack = config.settings.span("rules.answer_slack").unwrap_or(NAP);
     let mut server = Server {
         net: Rc::new(RefCell::new(net)),
         core: None,
@@ -312,6 +316,7 @@
         settings: config.settings,
         room: (config.memory as f64 * RESULTS_SHARE) as usize,
         stop: config.stop,
+        slice: slack.mul_f64(SLICE_SHARE),
         listener: Some(listener),
         listening: Some(listening),
     };
--- a/crates/aldercrank-server/src/net/pool.rs
+++ b/crates/aldercrank-server/src/net/pool.rs
@@ -18,6 +18,8 @@
     /// The last notice that was taken.
     last: u64,
     bound: bool,
+    /// When a bound link was lost.
+    lost: Option<Duration>,
 }
 
 impl PoolLink {
@@ -168,8 +170,12 @@
             if let Some(link) = net.pool.link.take() {
                 link.close(&net.on_loop);
             }
-            (net.pool.reader, net.pool.bound) = (pool::Reader::default(), false);
-            let at = net.clock.now() + RETRY;
+            let now = net.clock.now();
+            net.pool.reader = pool::Reader::default();
+            if std::mem::take(&mut net.pool.bound) {
+                net.pool.lost = Some(now);
+            }
+            let at = now + RETRY;
             net.deadlines.set(Due::PoolDial, at);
         }
         if let Some(core) = &mut self.core {
@@ -195,7 +201,17 @@
             self.report_soon();
         }
         let now = self.now();
+        // One that came up after the link was lost is another.
+        let lost = self.net().pool.lost.take();
+        let other = lost.is_some_and(|at| at + age < now);
+        if other {
+            log::warn!("the pool is another one");
+            self.net().pool.last = 0;
+        }
         if let Some(core) = &mut self.core {
+            if other {
+                core.pool_restarted(now);
+            }
             core.pool_bound(now);
         }
     }
--- a/crates/aldercrank-server/tests/suite/core.rs
+++ b/crates/aldercrank-server/tests/suite/core.rs
@@ -581,3 +581,36 @@
     Core::start(cfg, Duration::ZERO, 0, cold.clone()).reminded(MS * 30, Reminder::Tick);
     assert!(cold.0.borrow().advertised.is_some());
 }
+
+#[test]
+fn the_module_wakes_with_the_gauges_of_its_tick_or_without_when_none_come() {
+    let mut play = Play::new();
+    play.pass(MS * 30);
+    // The tick has asked; the module is told when they come, and asks for its next tick then.
+    let ticks =
+        |play: &Play| play.world.0.borrow().flight.iter().filter(|s| matches!(s, Said::Poll(_))).count();
+    assert_eq!(ticks(&play), 1);
+    play.pass(MS * 200);
+    assert_eq!(ticks(&play), 1, "one poll out at a time");
+    play.flow();
+    play.pass(MS * 30);
+    assert_eq!(ticks(&play), 1);
+}
+
+#[test]
+fn a_pool_that_is_another_one_has_all_runs_voided_and_their_places_are_free() {
+    let mut play = Play::new();
+    let seats = [play.read(Some(1), MS * 2000, MS), play.read(None, MS * 2000, MS)];
+    play.flow();
+    play.lose(0);
+    let unsaid = play.read(None, MS * 2000, MS);
+    play.core.pool_restarted(play.now());
+    assert_eq!((seats.map(|s| play.answers(s)), play.core.in_hand()), ([1, 1], 1));
+    play.bind();
+    play.flow();
+    assert_eq!(play.world.0.borrow().runs.len(), 3);
+    // What ran once does not run again: a repeat is voided.
+    let repeat = play.read(Some(1), MS * 2000, MS);
+    play.flow();
+    assert_eq!((play.answers(repeat), play.began(1), play.answers(unsaid)), (1, 1, 0));
+}
--- a/crates/aldercrank-server/tests/suite/sockets.rs
+++ b/crates/aldercrank-server/tests/suite/sockets.rs
@@ -68,9 +68,9 @@
         }
     }
 
-    fn bound(&mut self, last: &str) {
+    fn bound(&mut self, last: &str, age: &str) {
         assert_eq!(self.next().0, ["bind", last]);
-        self.say("bound warm 3.5\r\n");
+        self.say(&format!("bound warm {age}\r\n"));
     }
 
     fn finish(&mut self, notice: u32, rid: &str, result: &[u8]) {
@@ -159,7 +159,7 @@
     /// Serving, with its link to the pool.
     fn serving(&mut self) -> PoolEnd {
         let mut pool = PoolEnd::accept(&self.pool);
-        pool.bound("0");
+        pool.bound("0", "3.5");
         assert!(self.reports.recv_timeout(LONG).unwrap().ends_with("{\"phase\":\"UP\"}"));
         pool
     }
@@ -295,15 +295,22 @@
     edge.hears(&[b"one"]);
     drop(pool);
     let mut pool = PoolEnd::accept(&program.pool);
-    pool.bound("1");
+    pool.bound("1", "99000");
     pool.finish(1, &rid(2), b"old");
     pool.finish(2, &rid(2), b"two");
     pool.finish(3, &rid(9), b"for nobody");
     pool.say("gibberish\r\nunknown spawn 77\r\n");
     let heard = edge.hears(&[b"two"]);
     assert!(!heard.windows(3).any(|w| w == b"old"));
-    pool.finish(4, &rid(3), b"three");
-    edge.hears(&[b"three"]);
+    // One that came up after the link was lost has nothing of what the other ran.
+    drop(pool);
+    let mut pool = PoolEnd::accept(&program.pool);
+    pool.bound("3", "0.5");
+    edge.hears(&[&[0x94, 1, 3, 0x92], b"Internal"]);
+    edge.ask(4, "buy", &rid(4), Some("t"), b"b");
+    assert_eq!(pool.next().0[1], rid(4));
+    pool.finish(1, &rid(4), b"four");
+    edge.hears(&[b"four"]);
 }
 
 #[test]
