--- a/crates/aldercrank-server/src/core.rs
+++ b/crates/aldercrank-server/src/core.rs
@@ -25,8 +25,8 @@
 pub enum Reminder {
     /// The module's tick.
     Tick,
-    /// The gauges asked for at the tick have not come.
-    NoGauges,
+    /// Gauges are wanted, a moment before the tick.
+    Gauges,
     /// A kept key may go.
     Key(KeyId),
     /// A spawn whose fate is unknown may be sent again.
@@ -114,8 +114,8 @@
 
 /// How many ticks after its answer a spawn of unknown fate is sent again, to free its place.
 const AFTER_ANSWER: u32 = 30;
-/// How long the tick waits for its gauges, as a share of it.
-const GAUGES_WAIT: f64 = 0.25;
+/// Gauges are asked for this long before the tick, as a share of it.
+const GAUGES_BEFORE: f64 = 0.15;
 /// How much of the server's memory kept results may take.
 pub const RESULTS_SHARE: f64 = 0.1;
 
@@ -133,8 +133,6 @@
     link: Link,
     tag: u64,
     polling: bool,
-    /// The tick has come and waits for its gauges.
-    waking: bool,
     gauges: Vec<f64>,
     /// Ends that the module is told of once it has returned.
     ended: VecDeque<(TxnId, Outcome)>,
@@ -329,6 +327,7 @@
     fn wake(&mut self, after: Duration) {
         self.tick = after;
         self.ports.remind(Reminder::Tick, after);
+        self.ports.remind(Reminder::Gauges, after.mul_f64(1.0 - GAUGES_BEFORE));
     }
 
     fn log(&mut self, line: &str) {
@@ -360,7 +359,6 @@
             link: Link::Down,
             tag: 0,
             polling: false,
-            waking: false,
             gauges: Vec::new(),
             ended: VecDeque::new(),
         };
@@ -549,7 +547,6 @@
                 txn.heard = Heard::Yes;
             }
         }
-        self.wake(now);
         self.follow();
     }
 
@@ -633,28 +630,16 @@
 
     // ---- time ----
 
-    fn wake(&mut self, now: Duration) {
-        if std::mem::take(&mut self.brain.host.waking) {
-            let gauges = self.brain.host.gauges.clone();
-            self.brain.woken(now, &gauges);
-        }
-    }
-
     pub fn reminded(&mut self, now: Duration, what: Reminder) {
         let hands = self.at(now);
         match what {
             Reminder::Tick => {
-                // One poll is out at a time; without a link the gauges are those of before.
-                hands.waking = true;
-                if hands.link == Link::Up && !hands.polling {
-                    hands.poll();
-                    let wait = hands.tick.mul_f64(GAUGES_WAIT);
-                    hands.ports.remind(Reminder::NoGauges, wait);
-                } else {
-                    self.wake(now);
-                }
+                let gauges = hands.gauges.clone();
+                self.brain.woken(now, &gauges);
             }
-            Reminder::NoGauges => self.wake(now),
+            // One poll is out at a time; without a link the gauges are those of before.
+            Reminder::Gauges if hands.link == Link::Up && !hands.polling => hands.poll(),
+            Reminder::Gauges => {}
             Reminder::Key(key) => {
                 let longest = hands.longest;
                 match hands.keys.ends(key, longest).filter(|end| *end > now) {
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -251,7 +251,7 @@
             if ready.writable {
                 server.edge_writable(number.get());
             }
-            server.edge_turn(number.get());
+            server.edge_readable(number.get());
         });
         let conn = match link {
             Ok(link) => Conn { link, calls: BTreeSet::new(), state: State::Open, queued: false, quiet: now },
--- a/crates/aldercrank-server/tests/suite/core.rs
+++ b/crates/aldercrank-server/tests/suite/core.rs
@@ -583,18 +583,19 @@
 }
 
 #[test]
-fn the_module_wakes_with_the_gauges_of_its_tick_or_without_when_none_come() {
+fn gauges_are_asked_for_before_each_tick_one_poll_at_a_time() {
     let mut play = Play::new();
-    play.pass(MS * 30);
-    // The tick has asked; the module is told when they come, and asks for its next tick then.
-    let ticks =
+    let polls =
         |play: &Play| play.world.0.borrow().flight.iter().filter(|s| matches!(s, Said::Poll(_))).count();
-    assert_eq!(ticks(&play), 1);
+    play.pass(MS * 20);
+    assert_eq!(polls(&play), 0);
+    play.pass(MS * 8);
+    assert_eq!(polls(&play), 1, "before the tick at 30 ms");
     play.pass(MS * 200);
-    assert_eq!(ticks(&play), 1, "one poll out at a time");
+    assert_eq!(polls(&play), 1, "none is asked for while one is out");
     play.flow();
     play.pass(MS * 30);
-    assert_eq!(ticks(&play), 1);
+    assert_eq!(polls(&play), 1);
 }
 
 #[test]
