Clocks that are far off, and a run that the pool does not know, cost one txn only

Read off the code, checked by tests that fail without the change: a t0 of long ago counted as time unread and made the server unfit for a hundred reads; a t0 ahead of our clock kept a txn longer than its budget; an unknown answer to a spawn left its place taken for good.

--- a/crates/aldercrank-server/src/core.rs
+++ b/crates/aldercrank-server/src/core.rs
@@ -125,6 +125,8 @@
     now: Duration,
     products: Vec<(String, Effect)>,
     longest: Duration,
+    /// The longest that a client waits.
+    patience: Duration,
     tick: Duration,
     txns: Slots<Txn>,
     rids: BTreeMap<Rid, TxnId>,
@@ -172,6 +174,10 @@
         self.release(id);
     }
 
+    fn in_hand(&self) -> Vec<TxnId> {
+        self.rids.values().copied().collect()
+    }
+
     /// Frees the slot, unless a key names it still.
     fn release(&mut self, id: TxnId) {
         let Some(txn) = self.txns.get(slot(id)).filter(|t| t.stage == Stage::Over) else { return };
@@ -345,12 +351,14 @@
         let named = (0..).map_while(|i| settings.text(&key(i, "name")).map(|name| (i, name)));
         let effect = |i: usize| Effect::named(settings.text(&key(i, "effect")).unwrap_or_default());
         let products: Vec<(String, Effect)> = named.map(|(i, name)| (name.to_string(), effect(i))).collect();
-        let longest = (0..products.len()).filter_map(|i| settings.span(&key(i, "window"))).max();
+        let most = |field: &str| (0..products.len()).filter_map(|i| settings.span(&key(i, field))).max();
+        let (longest, patience) = (most("window"), most("give_up"));
         let hands = Hands {
             ports,
             now,
             products,
             longest: longest.unwrap_or_default(),
+            patience: patience.unwrap_or(Duration::MAX),
             tick: Duration::ZERO,
             txns: Slots::default(),
             rids: BTreeMap::new(),
@@ -365,10 +373,6 @@
         Core { brain: Brain::start(settings, now, hands) }
     }
 
-    pub fn ports(&mut self) -> &mut P {
-        &mut self.brain.host.ports
-    }
-
     /// Txns that are held or run.
     pub fn in_hand(&self) -> usize {
         self.brain.host.rids.len()
@@ -410,7 +414,9 @@
     fn end_join(&mut self, id: TxnId, result: Option<&[u8]>) {
         let hands = &mut self.brain.host;
         let now = hands.now;
-        let Some(took) = hands.txn(id).filter(|t| t.stage == Stage::Joined).map(|t| now - t.joined) else {
+        let Some(took) =
+            hands.txn(id).filter(|t| t.stage == Stage::Joined).map(|t| now.saturating_sub(t.joined))
+        else {
             return;
         };
         if let Some(seat) = hands.seat(id) {
@@ -440,7 +446,9 @@
             log::warn!("txn {} carries no token", ask.rid);
             return hands.ports.void(seat);
         }
-        let arrived = now.saturating_sub(ask.arrival.lay);
+        // One that lay longer than anybody waits tells of a clock, not of our reading.
+        let lay = ask.arrival.lay.min(hands.patience);
+        let arrived = now.saturating_sub(lay);
         if ask.mark.is_some() && hands.keys.full() {
             log::error!("no room left for keys");
             return hands.ports.decline(seat, None, false);
@@ -468,7 +476,7 @@
         };
         hands.rids.insert(ask.rid, id);
         hands.seats.insert(seat, id);
-        self.brain.txn_read(now, id, &Arrival { repeats, ..ask.arrival });
+        self.brain.txn_read(now, id, &Arrival { repeats, lay, ..ask.arrival });
         self.follow();
     }
 
@@ -520,6 +528,11 @@
         self.follow();
     }
 
+    /// The pool does not know what it was told to run, so it never will.
+    pub fn run_unknown(&mut self, now: Duration, rid: Rid) {
+        self.run_ended(now, rid, Outcome::Superseded, Duration::ZERO, &[]);
+    }
+
     pub fn call_needed(&mut self, now: Duration, rid: Rid, notice: u64, body: &[u8]) {
         let hands = self.at(now);
         let Some(id) = hands.rids.get(&rid).copied() else {
@@ -541,8 +554,7 @@
             self.link_settled();
         }
         let hands = &mut self.brain.host;
-        let ids: Vec<TxnId> = hands.rids.values().copied().collect();
-        for id in ids {
+        for id in hands.in_hand() {
             if let Some(txn) = hands.txn(id).filter(|t| matches!(t.heard, Heard::By(by) if by <= tag)) {
                 txn.heard = Heard::Yes;
             }
@@ -554,8 +566,7 @@
     pub fn pool_lost(&mut self) {
         let hands = &mut self.brain.host;
         (hands.link, hands.polling) = (Link::Down, false);
-        let ids: Vec<TxnId> = hands.rids.values().copied().collect();
-        for id in ids {
+        for id in hands.in_hand() {
             if let Some(txn) = hands.txn(id).filter(|t| matches!(t.heard, Heard::By(_))) {
                 txn.heard = Heard::Unknown;
                 if std::mem::take(&mut txn.passed) {
@@ -568,8 +579,7 @@
     /// The pool is another one than before: nothing runs any more.
     pub fn pool_restarted(&mut self, now: Duration) {
         let hands = self.at(now);
-        let ids: Vec<TxnId> = hands.rids.values().copied().collect();
-        for id in ids {
+        for id in hands.in_hand() {
             let ran = |t: &&mut Txn| t.stage == Stage::Running && t.heard != Heard::Unsaid;
             if hands.txn(id).filter(ran).is_some() {
                 if let Some(seat) = hands.seat(id) {
@@ -593,8 +603,7 @@
     /// run twice is never spawned again while its fate is unknown: it could have ended a moment ago.
     fn link_settled(&mut self) {
         let hands = &mut self.brain.host;
-        let ids: Vec<TxnId> = hands.rids.values().copied().collect();
-        for id in ids {
+        for id in hands.in_hand() {
             let tick = hands.tick;
             let Some(txn) = hands.txns.get_mut(slot(id)).filter(|t| t.stage == Stage::Running) else {
                 continue;
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -159,7 +159,8 @@
             let (t0, budget) = (Duration::from_millis(fields.t0?), Duration::from_millis(fields.budget?));
             let now = self.server.now();
             let lay = ago(unix, t0);
-            let left = ago(t0.checked_add(budget)?, unix);
+            // Not longer than told, should our clock have been set back.
+            let left = ago(t0.checked_add(budget)?, unix).min(budget);
             let mark = match (fields.token, fields.obj) {
                 (Some(token), _) => Some(Mark::Token(token.to_string())),
                 (None, Some(obj)) => Some(Mark::Subject(method.to_string(), obj.to_string())),
--- a/crates/aldercrank-server/src/net/pool.rs
+++ b/crates/aldercrank-server/src/net/pool.rs
@@ -80,6 +80,10 @@
 
     fn unknown(&mut self, command: &str, id: &str) {
         log::info!("the pool knows no {id:?} to {command:?}");
+        let now = self.0.now();
+        if let (Some(core), "spawn", Some(rid)) = (&mut self.0.core, command, Rid::new(id)) {
+            core.run_unknown(now, rid);
+        }
     }
 
     fn nonsense(&mut self, line: &str) {
--- a/crates/aldercrank-server/tests/suite/core.rs
+++ b/crates/aldercrank-server/tests/suite/core.rs
@@ -64,6 +64,7 @@
     calls: BTreeMap<TxnId, Rid>,
     broken: Vec<String>,
     advertised: Option<f64>,
+    good: bool,
 }
 
 impl World {
@@ -192,7 +193,9 @@
     fn hang_up(&mut self, txn: TxnId) {
         self.0.borrow_mut().calls.remove(&txn);
     }
-    fn health(&mut self, _: bool) {}
+    fn health(&mut self, good: bool) {
+        self.0.borrow_mut().good = good;
+    }
     fn close_idle(&mut self, _: Duration) {}
     fn advertise(&mut self, value: f64) {
         self.0.borrow_mut().advertised = Some(value);
@@ -546,6 +549,11 @@
         play.flow();
         assert_eq!((play.answers(seat), play.world.0.borrow().runs.len()), (1, 1), "{product}");
     }
+    // A run that the pool does not know is over, and its place is free.
+    let unknown = play.read(None, MS * 2000, MS);
+    let rid = play.world.0.borrow().seen[&unknown].rid;
+    play.core.run_unknown(play.now(), rid);
+    assert_eq!((play.answers(unknown), play.core.in_hand()), (1, 1));
     // Notices for ids that were never heard of change nothing.
     let stranger = Rid::new("ffffffffffffffff").unwrap();
     play.core.run_ended(play.now(), stranger, Outcome::Completed, MS, b"x");
@@ -615,3 +623,24 @@
     play.flow();
     assert_eq!((play.answers(repeat), play.began(1), play.answers(unsaid)), (1, 1, 0));
 }
+
+#[test]
+fn a_clock_that_is_far_off_does_not_make_a_healthy_server_unfit() {
+    let mut play = Play::new();
+    play.pass(MS * 500);
+    // One that came in 1970, by its word: gone long ago, declined, and no proof of slow reading.
+    let seat = Seat { conn: ConnId(8), call: 1 };
+    let rid = Rid::new("00000000000000aa").unwrap();
+    let (arrived, expiry) = (Duration::ZERO, play.now());
+    let seen = Seen { rid, token: None, arrived, expiry, body: vec![], answers: 0, gone: false };
+    play.world.0.borrow_mut().seen.insert(seat, seen);
+    let lay = Duration::from_secs(1_700_000_000);
+    let arrival = Arrival { product: "p0".into(), expiry: Some(play.now()), lay, ..Arrival::default() };
+    play.core.txn_read(play.now(), seat, Ask { rid, mark: None, arrival, body: &[] });
+    assert_eq!(play.answers(seat), 1);
+    for _ in 0..10 {
+        play.pass(MS * 50);
+        play.flow();
+    }
+    assert!(play.world.0.borrow().good);
+}
