Tests: parties that are away, a pause of the machine, addresses kept apart

Run beside each other the tests could take each other's ports (seen once: a lost link that was refused). Each program now has a loopback address of its own.

--- a/crates/aldercrank-server/tests/suite/sockets.rs
+++ b/crates/aldercrank-server/tests/suite/sockets.rs
@@ -4,13 +4,14 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const LONG: Duration = Duration::from_secs(10);
 
-fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+fn listen(ip: &str) -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind((ip, 0)).unwrap();
     let addr = listener.local_addr().unwrap();
     (listener, addr)
 }
@@ -123,15 +124,32 @@
     calls: Receiver<String>,
     reports: Receiver<String>,
     config: std::path::PathBuf,
+    /// Parties that are away: where they would be.
+    away: Vec<(SocketAddr, Sender<String>)>,
 }
 
 impl Program {
     fn start(answer: impl Fn(&str) -> Option<String> + Send + 'static + Clone) -> Program {
+        Program::begin(Some(answer))
+    }
+
+    /// Without an answer index and membership service are away.
+    fn begin(answer: Option<impl Fn(&str) -> Option<String> + Send + 'static + Clone>) -> Program {
+        // Each on a loopback address of its own, so that no port that is free for a moment is another's.
+        static PROGRAMS: AtomicU32 = AtomicU32::new(1);
+        let (pid, number) = (std::process::id() % 60_000, PROGRAMS.fetch_add(1, Ordering::Relaxed));
+        let ip = format!("127.{}.{}.{number}", 16 + pid / 250, 1 + pid % 250);
         let (edge, (pool, pool_addr), (index, index_addr), (members, members_addr)) =
-            (listen().1, listen(), listen(), listen());
+            (listen(&ip).1, listen(&ip), listen(&ip), listen(&ip));
         let ((say_call, calls), (say_report, reports)) = (channel(), channel());
-        http(index, say_call, answer);
-        http(members, say_report, |_| Some("HTTP/1.1 204 No Content\r\n\r\n".to_string()));
+        let mut away = Vec::new();
+        match answer {
+            Some(answer) => {
+                http(index, say_call, answer);
+                http(members, say_report, listed);
+            }
+            None => away = vec![(index_addr, say_call), (members_addr, say_report)],
+        }
         let product = |name: &str, effect: &str| {
             serde_json::json!({"name": name, "effect": effect, "goal_time": 2000000, "give_up": 5000000,
                 "points": 1.0, "window": 9000000})
@@ -153,7 +171,7 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        Program { child, edge, pool, calls, reports, config: path }
+        Program { child, edge, pool, calls, reports, config: path, away }
     }
 
     /// Serving, with its link to the pool.
@@ -245,6 +263,10 @@
     format!("{n:016x}")
 }
 
+fn listed(_: &str) -> Option<String> {
+    Some("HTTP/1.1 204 No Content\r\n\r\n".to_string())
+}
+
 fn ok(body: &str) -> Option<String> {
     Some(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
@@ -430,3 +452,53 @@
     }
     writing.join().unwrap();
 }
+
+#[test]
+fn without_index_and_membership_service_it_serves_and_reports_once_they_are_back() {
+    let mut program = Program::begin(None::<fn(&str) -> Option<String>>);
+    let mut pool = PoolEnd::accept(&program.pool);
+    pool.bound("0", "3.5");
+    let mut edge = program.connect();
+    // A refused call provably never ran: it is tried again, and in the end the txn is voided in time.
+    edge.ask(1, "buy", &rid(1), Some("t"), b"");
+    assert_eq!(pool.next().0[1], rid(1));
+    pool.say(&format!("blocked 1 {} 1\r\n?\r\n", rid(1)));
+    edge.ask(2, "map", &rid(2), None, b"");
+    assert_eq!(pool.next().0[1], rid(2));
+    pool.finish(2, &rid(2), b"two");
+    edge.hears(&[b"two", &[0x94, 1, 1, 0x92], b"Internal"]);
+    let (addr, said) = program.away.pop().unwrap();
+    http(TcpListener::bind(addr).unwrap(), said, listed);
+    assert!(program.reports.recv_timeout(LONG).unwrap().ends_with("{\"phase\":\"UP\"}"));
+}
+
+#[test]
+fn a_pause_of_the_machine_leaves_one_answer_for_each_txn() {
+    let mut program = Program::start(|_| None);
+    let mut pool = program.serving();
+    let mut edge = program.connect();
+    (1..=4).for_each(|n| edge.ask(n, "buy", &rid(n), Some(&rid(n)), b""));
+    (1..=4).for_each(|n| assert_eq!(pool.next().0[1], rid(n)));
+    let pid = program.child.id().to_string();
+    let send = |signal: &str| assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+    send("-STOP");
+    // While it stands still a result comes for one, and the time of all runs out; one more is asked.
+    pool.finish(1, &rid(1), b"one");
+    edge.ask(5, "buy", &rid(1), Some(&rid(1)), b"");
+    std::thread::sleep(Duration::from_millis(3200));
+    send("-CONT");
+    let mut heard = Vec::new();
+    let answers = |bytes: &[u8]| bytes.windows(2).filter(|w| *w == [0x94, 1]).count();
+    edge.0.set_read_timeout(Some(Duration::from_millis(600))).unwrap();
+    loop {
+        let mut chunk = [0; 4096];
+        match edge.0.read(&mut chunk) {
+            Ok(n) if n > 0 => heard.extend(&chunk[..n]),
+            _ => break,
+        }
+    }
+    assert_eq!(answers(&heard), 5, "{heard:?}");
+    // What the pool hears next is the word for another txn: nothing was run again.
+    edge.ask(6, "buy", &rid(6), Some(&rid(6)), b"");
+    assert_eq!(pool.next().0[1], rid(6));
+}
