--- a/crates/aldercrank-server/src/core.rs
+++ b/crates/aldercrank-server/src/core.rs
@@ -2,7 +2,7 @@
 //! in with its time, one method each; what is to be done goes out through `Ports`. Decides nothing.
 
 use crate::keys::{Fate, KeyId, Keys, Mark};
-use crate::pool::Rid;
+use crate::pool::{Notice, Rid};
 use crate::slots::{Slot, Slots};
 use aldercrank::{Arrival, Brain, Effect, Host, Outcome, Settings, TxnId};
 use std::collections::{BTreeMap, VecDeque};
@@ -13,11 +13,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConnId(pub u32);
 
+/// A call's number on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallNo(pub u32);
+
 /// Where an answer is owed: a call on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Seat {
     pub conn: ConnId,
-    pub call: u32,
+    pub call: CallNo,
 }
 
 /// What the core asks to be reminded of.
@@ -43,7 +47,7 @@
     fn spawn(&mut self, rid: Rid, product: &str, body: &[u8]);
     fn suspend(&mut self, rid: Rid);
     fn supply(&mut self, rid: Rid, reply: &[u8]);
-    fn pass(&mut self, rid: Rid, notice: u64);
+    fn pass(&mut self, rid: Rid, notice: Notice);
     /// Asks for the gauges; the answer carries the tag.
     fn poll(&mut self, tag: u64);
     /// To the index.
@@ -94,7 +98,7 @@
     stage: Stage,
     heard: Heard,
     /// The call that the run waits for: its notice and body.
-    blocked: Option<(u64, Rc<[u8]>)>,
+    blocked: Option<(Notice, Rc<[u8]>)>,
     called: Option<Duration>,
     /// What to tell a run that waits, once the link is back: the reply, or to go on without.
     unsaid: Option<Option<Rc<[u8]>>>,
@@ -492,7 +496,7 @@
 
     /// A connection has gone: nobody waits on it any more.
     pub fn conn_lost(&mut self, now: Duration, conn: ConnId) {
-        let (first, last) = (Seat { conn, call: 0 }, Seat { conn, call: u32::MAX });
+        let (first, last) = (Seat { conn, call: CallNo(0) }, Seat { conn, call: CallNo(u32::MAX) });
         let seats: Vec<Seat> = self.brain.host.seats.range(first..=last).map(|(seat, _)| *seat).collect();
         seats.into_iter().for_each(|seat| self.caller_gone(now, seat));
     }
@@ -533,7 +537,7 @@
         self.run_ended(now, rid, Outcome::Superseded, Duration::ZERO, &[]);
     }
 
-    pub fn call_needed(&mut self, now: Duration, rid: Rid, notice: u64, body: &[u8]) {
+    pub fn call_needed(&mut self, now: Duration, rid: Rid, notice: Notice, body: &[u8]) {
         let hands = self.at(now);
         let Some(id) = hands.rids.get(&rid).copied() else {
             return log::debug!("the pool has {rid} at a call, which is not in hand");
--- a/crates/aldercrank-server/src/msgpack.rs
+++ b/crates/aldercrank-server/src/msgpack.rs
@@ -1,5 +1,6 @@
 //! The edge's MessagePack-RPC, apart from sockets: one method of `Edge` for each thing that is said.
 
+use crate::core::CallNo;
 use rmp::decode;
 use rmp::{encode, Marker};
 use std::time::Duration;
@@ -26,11 +27,11 @@
 }
 
 pub trait Edge {
-    fn asked(&mut self, call: u32, method: &str, fields: &Fields, body: &[u8]);
-    fn checked(&mut self, call: u32);
-    fn interrupted(&mut self, call: u32);
+    fn asked(&mut self, call: CallNo, method: &str, fields: &Fields, body: &[u8]);
+    fn checked(&mut self, call: CallNo);
+    fn interrupted(&mut self, call: CallNo);
     /// A call that makes no sense, but has an id to answer to.
-    fn senseless(&mut self, call: u32, why: &'static str);
+    fn senseless(&mut self, call: CallNo, why: &'static str);
     /// A notification that is not known.
     fn ignored(&mut self, why: &'static str);
 }
@@ -108,7 +109,7 @@
     let kind: u32 = decode::read_int(rest).map_err(|_| Broken("a message of no kind"))?;
     match (kind, parts) {
         (0, 4) => {
-            let call: u32 = decode::read_int(rest).map_err(|_| Broken("a call without an id"))?;
+            let call = decode::read_int(rest).map(CallNo).map_err(|_| Broken("a call without an id"))?;
             if let Err(why) = called(call, rest, edge) {
                 edge.senseless(call, why);
             }
@@ -119,7 +120,7 @@
             let id = known
                 .then(|| decode::read_array_len(rest).ok().filter(|n| *n > 0))
                 .flatten()
-                .and_then(|_| decode::read_int(rest).ok());
+                .and_then(|_| decode::read_int(rest).map(CallNo).ok());
             match id {
                 Some(call) => edge.interrupted(call),
                 None => edge.ignored("a notification that is not known"),
@@ -134,7 +135,7 @@
     }
 }
 
-fn called(call: u32, rest: &mut &[u8], edge: &mut impl Edge) -> Result<(), &'static str> {
+fn called(call: CallNo, rest: &mut &[u8], edge: &mut impl Edge) -> Result<(), &'static str> {
     let method = text(rest).ok_or("a method that is no text")?;
     let params = decode::read_array_len(rest).map_err(|_| "parameters that are no list")?;
     if method == "check" {
@@ -193,13 +194,13 @@
     }
 }
 
-fn head(into: &mut Vec<u8>, call: u32) {
+fn head(into: &mut Vec<u8>, call: CallNo) {
     let _ = encode::write_array_len(into, 4);
     let _ = encode::write_uint(into, 1);
-    let _ = encode::write_uint(into, u64::from(call));
+    let _ = encode::write_uint(into, u64::from(call.0));
 }
 
-pub fn settled(into: &mut Vec<u8>, call: u32, result: &[u8], hint: Option<f64>) {
+pub fn settled(into: &mut Vec<u8>, call: CallNo, result: &[u8], hint: Option<f64>) {
     head(into, call);
     let _ = encode::write_nil(into);
     let _ = encode::write_array_len(into, 2);
@@ -207,7 +208,7 @@
     fields(into, hint, None, false);
 }
 
-fn error(into: &mut Vec<u8>, call: u32, name: &str, with: (Option<f64>, Option<Duration>, bool)) {
+fn error(into: &mut Vec<u8>, call: CallNo, name: &str, with: (Option<f64>, Option<Duration>, bool)) {
     head(into, call);
     let _ = encode::write_array_len(into, 2);
     let _ = encode::write_str(into, name);
@@ -215,15 +216,15 @@
     let _ = encode::write_nil(into);
 }
 
-pub fn declined(into: &mut Vec<u8>, call: u32, hint: Option<f64>, back_in: Option<Duration>, last: bool) {
+pub fn declined(into: &mut Vec<u8>, call: CallNo, hint: Option<f64>, back_in: Option<Duration>, last: bool) {
     error(into, call, "Overloaded", (hint, back_in, last));
 }
 
-pub fn voided(into: &mut Vec<u8>, call: u32, hint: Option<f64>) {
+pub fn voided(into: &mut Vec<u8>, call: CallNo, hint: Option<f64>) {
     error(into, call, "Internal", (hint, None, false));
 }
 
-pub fn check(into: &mut Vec<u8>, call: u32, good: bool, hint: Option<f64>) {
+pub fn check(into: &mut Vec<u8>, call: CallNo, good: bool, hint: Option<f64>) {
     head(into, call);
     let _ = encode::write_nil(into);
     let _ = encode::write_array_len(into, 2);
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -3,7 +3,7 @@
 use super::link::{keep_rest, Fill, Link, Loop};
 use super::{Due, Server};
 use crate::clock::{ago, Clock};
-use crate::core::{Ask, ConnId, Seat};
+use crate::core::{Ask, CallNo, ConnId, Seat};
 use crate::deadlines::Deadlines;
 use crate::keys::Mark;
 use crate::msgpack::{self, Edge, Fields};
@@ -37,7 +37,7 @@
 
 pub struct Conn {
     link: Link,
-    calls: BTreeSet<u32>,
+    calls: BTreeSet<CallNo>,
     state: State,
     /// It waits for its turn to be read.
     queued: bool,
@@ -149,7 +149,7 @@
 }
 
 impl Edge for Hear<'_> {
-    fn asked(&mut self, call: u32, method: &str, fields: &Fields, body: &[u8]) {
+    fn asked(&mut self, call: CallNo, method: &str, fields: &Fields, body: &[u8]) {
         if !self.server.open_call(self.conn, call) {
             return;
         }
@@ -187,7 +187,7 @@
         }
     }
 
-    fn checked(&mut self, call: u32) {
+    fn checked(&mut self, call: CallNo) {
         let (good, now, mut net) = (self.server.fit(), self.server.now(), self.server.net());
         let net = &mut *net;
         let hint = net.edge.hint;
@@ -197,7 +197,7 @@
         }
     }
 
-    fn interrupted(&mut self, call: u32) {
+    fn interrupted(&mut self, call: CallNo) {
         let seat = Seat { conn: self.conn, call };
         let open = self.server.net().edge.get(self.conn).is_some_and(|c| c.calls.remove(&call));
         if open {
@@ -205,7 +205,7 @@
         }
     }
 
-    fn senseless(&mut self, call: u32, why: &'static str) {
+    fn senseless(&mut self, call: CallNo, why: &'static str) {
         log::warn!("{why}");
         if self.server.open_call(self.conn, call) {
             self.server.refuse(Seat { conn: self.conn, call }, false);
@@ -252,7 +252,7 @@
             if ready.writable {
                 server.edge_writable(number.get());
             }
-            server.edge_readable(number.get());
+            server.edge_turn(number.get());
         });
         let conn = match link {
             Ok(link) => Conn { link, calls: BTreeSet::new(), state: State::Open, queued: false, quiet: now },
@@ -348,7 +348,7 @@
     }
 
     /// Notes a call as open. One that has an id which is open already gets an error, and is not run.
-    fn open_call(&mut self, conn: ConnId, call: u32) -> bool {
+    fn open_call(&mut self, conn: ConnId, call: CallNo) -> bool {
         let (now, mut net) = (self.now(), self.net());
         let net = &mut *net;
         let hint = net.edge.hint;
@@ -360,7 +360,7 @@
         }
         let fresh = c.calls.insert(call);
         if !fresh {
-            log::warn!("call {call} is open already");
+            log::warn!("call {call:?} is open already");
             c.link.say(|out| msgpack::voided(out, call, hint));
         }
         fresh
--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -11,7 +11,7 @@
 use crate::core::{ConnId, Core, Ports, Reminder, Seat, RESULTS_SHARE};
 use crate::deadlines::Deadlines;
 use crate::phase::Phase;
-use crate::pool::Rid;
+use crate::pool::{Notice, Rid};
 use crate::{msgpack, pool as words};
 use aldercrank::{Settings, TxnId};
 use calloop::generic::Generic;
@@ -104,7 +104,7 @@
     fn supply(&mut self, rid: Rid, reply: &[u8]) {
         self.0.borrow_mut().pool.say(|out| words::supply(out, rid, reply));
     }
-    fn pass(&mut self, rid: Rid, notice: u64) {
+    fn pass(&mut self, rid: Rid, notice: Notice) {
         self.0.borrow_mut().pool.say(|out| words::pass(out, rid, notice));
     }
     fn poll(&mut self, tag: u64) {
--- a/crates/aldercrank-server/src/net/pool.rs
+++ b/crates/aldercrank-server/src/net/pool.rs
@@ -3,7 +3,7 @@
 use super::link::{keep_rest, Fill, Link};
 use super::{Due, Server};
 use crate::core::Core;
-use crate::pool::{self, Pool, Rid};
+use crate::pool::{self, Notice, Pool, Rid};
 use aldercrank::{Outcome, Value};
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
     link: Option<Link>,
     reader: pool::Reader,
     /// The last notice that was taken.
-    last: u64,
+    last: Notice,
     bound: bool,
     /// When a bound link was lost.
     lost: Option<Duration>,
@@ -35,7 +35,7 @@
 
 impl Hear<'_> {
     /// Whether a notice is new: replayed ones are taken once.
-    fn fresh(&mut self, notice: u64) -> bool {
+    fn fresh(&mut self, notice: Notice) -> bool {
         let mut net = self.0.net();
         let fresh = notice > net.pool.last;
         net.pool.last = net.pool.last.max(notice);
@@ -49,7 +49,7 @@
         self.0.bound(cold, age);
     }
 
-    fn finished(&mut self, notice: u64, rid: Rid, how: Outcome, took: Duration, result: &[u8]) {
+    fn finished(&mut self, notice: Notice, rid: Rid, how: Outcome, took: Duration, result: &[u8]) {
         if self.fresh(notice) {
             let now = self.0.now();
             if let Some(core) = &mut self.0.core {
@@ -58,7 +58,7 @@
         }
     }
 
-    fn blocked(&mut self, notice: u64, rid: Rid, body: &[u8]) {
+    fn blocked(&mut self, notice: Notice, rid: Rid, body: &[u8]) {
         if self.fresh(notice) {
             let now = self.0.now();
             if let Some(core) = &mut self.0.core {
@@ -67,7 +67,7 @@
         }
     }
 
-    fn chatter(&mut self, notice: u64) {
+    fn chatter(&mut self, notice: Notice) {
         self.fresh(notice);
     }
 
@@ -210,7 +210,7 @@
         let other = lost.is_some_and(|at| at + age < now);
         if other {
             log::warn!("the pool is another one");
-            self.net().pool.last = 0;
+            self.net().pool.last = Notice(0);
         }
         if let Some(core) = &mut self.core {
             if other {
--- a/crates/aldercrank-server/src/pool.rs
+++ b/crates/aldercrank-server/src/pool.rs
@@ -30,12 +30,16 @@
     }
 }
 
+/// The number of something that the pool has told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Notice(pub u64);
+
 pub trait Pool {
     fn bound(&mut self, cold: bool, age: Duration);
     /// Notices count up; each of these three carries its number.
-    fn finished(&mut self, notice: u64, rid: Rid, how: Outcome, took: Duration, result: &[u8]);
-    fn blocked(&mut self, notice: u64, rid: Rid, body: &[u8]);
-    fn chatter(&mut self, notice: u64);
+    fn finished(&mut self, notice: Notice, rid: Rid, how: Outcome, took: Duration, result: &[u8]);
+    fn blocked(&mut self, notice: Notice, rid: Rid, body: &[u8]);
+    fn chatter(&mut self, notice: Notice);
     fn polled(&mut self, tag: u64, gauges: &[f64]);
     fn unknown(&mut self, command: &str, id: &str);
     fn nonsense(&mut self, line: &str);
@@ -92,29 +96,33 @@
                 "void" => Outcome::Superseded,
                 _ => Outcome::Errored,
             };
-            pool.finished(n.parse().ok()?, Rid::new(id)?, how, span(took)?, after?);
+            pool.finished(notice(n)?, Rid::new(id)?, how, span(took)?, after?);
         }
-        ["blocked", n, id, _] => pool.blocked(n.parse().ok()?, Rid::new(id)?, after?),
+        ["blocked", n, id, _] => pool.blocked(notice(n)?, Rid::new(id)?, after?),
         ["polled", tag, gauges @ ..] => {
             let gauges: Vec<f64> = gauges.iter().map(|g| g.parse().unwrap_or_default()).collect();
             pool.polled(tag.parse().ok()?, &gauges);
         }
         ["unknown", command, id, ..] => pool.unknown(command, id),
         ["unknown", command] => pool.unknown(command, ""),
-        ["chatter", n, ..] => pool.chatter(n.parse().ok()?),
+        ["chatter", n, ..] => pool.chatter(notice(n)?),
         _ => return None,
     }
     Some(())
 }
 
+fn notice(text: &str) -> Option<Notice> {
+    text.parse().ok().map(Notice)
+}
+
 /// Milliseconds, with or without a fraction.
 fn span(text: &str) -> Option<Duration> {
     let ms: f64 = text.parse().ok()?;
     Duration::try_from_secs_f64(ms / 1e3).ok()
 }
 
-pub fn bind(into: &mut Vec<u8>, last: u64) {
-    into.extend(format!("bind {last}\r\n").bytes());
+pub fn bind(into: &mut Vec<u8>, last: Notice) {
+    into.extend(format!("bind {}\r\n", last.0).bytes());
 }
 
 pub fn spawn(into: &mut Vec<u8>, rid: Rid, product: &str, body: &[u8]) {
@@ -133,8 +141,8 @@
     into.extend(b"\r\n");
 }
 
-pub fn pass(into: &mut Vec<u8>, rid: Rid, notice: u64) {
-    into.extend(format!("pass {rid} {notice}\r\n").bytes());
+pub fn pass(into: &mut Vec<u8>, rid: Rid, notice: Notice) {
+    into.extend(format!("pass {rid} {}\r\n", notice.0).bytes());
 }
 
 pub fn poll(into: &mut Vec<u8>, tag: u64) {
--- a/crates/aldercrank-server/tests/suite/codecs.rs
+++ b/crates/aldercrank-server/tests/suite/codecs.rs
@@ -1,7 +1,8 @@
 //! Every codec on bytes split anywhere, cut short, and generated at random.
 
 use aldercrank::Outcome;
-use aldercrank_server::pool::{self, Pool, Rid};
+use aldercrank_server::core::CallNo;
+use aldercrank_server::pool::{self, Notice, Pool, Rid};
 use aldercrank_server::{http, index, members, msgpack};
 use quickcheck::{Gen, QuickCheck};
 use rmp::encode::{write_array_len, write_bin, write_map_len, write_sint, write_str, write_uint};
@@ -14,17 +15,17 @@
 struct Heard(Vec<String>);
 
 impl msgpack::Edge for Heard {
-    fn asked(&mut self, call: u32, method: &str, fields: &msgpack::Fields, body: &[u8]) {
-        self.0.push(format!("asked {call} {method} {fields:?} {body:?}"));
+    fn asked(&mut self, call: CallNo, method: &str, fields: &msgpack::Fields, body: &[u8]) {
+        self.0.push(format!("asked {} {method} {fields:?} {body:?}", call.0));
     }
-    fn checked(&mut self, call: u32) {
-        self.0.push(format!("checked {call}"));
+    fn checked(&mut self, call: CallNo) {
+        self.0.push(format!("checked {}", call.0));
     }
-    fn interrupted(&mut self, call: u32) {
-        self.0.push(format!("interrupted {call}"));
+    fn interrupted(&mut self, call: CallNo) {
+        self.0.push(format!("interrupted {}", call.0));
     }
-    fn senseless(&mut self, call: u32, _why: &'static str) {
-        self.0.push(format!("senseless {call}"));
+    fn senseless(&mut self, call: CallNo, _why: &'static str) {
+        self.0.push(format!("senseless {}", call.0));
     }
     fn ignored(&mut self, _why: &'static str) {
         self.0.push("ignored".to_string());
@@ -35,14 +36,14 @@
     fn bound(&mut self, cold: bool, age: Duration) {
         self.0.push(format!("bound {cold} {age:?}"));
     }
-    fn finished(&mut self, n: u64, rid: Rid, how: Outcome, took: Duration, result: &[u8]) {
-        self.0.push(format!("finished {n} {rid} {how:?} {took:?} {result:?}"));
+    fn finished(&mut self, n: Notice, rid: Rid, how: Outcome, took: Duration, result: &[u8]) {
+        self.0.push(format!("finished {} {rid} {how:?} {took:?} {result:?}", n.0));
     }
-    fn blocked(&mut self, n: u64, rid: Rid, body: &[u8]) {
-        self.0.push(format!("blocked {n} {rid} {body:?}"));
+    fn blocked(&mut self, n: Notice, rid: Rid, body: &[u8]) {
+        self.0.push(format!("blocked {} {rid} {body:?}", n.0));
     }
-    fn chatter(&mut self, n: u64) {
-        self.0.push(format!("chatter {n}"));
+    fn chatter(&mut self, n: Notice) {
+        self.0.push(format!("chatter {}", n.0));
     }
     fn polled(&mut self, tag: u64, gauges: &[f64]) {
         self.0.push(format!("polled {tag} {gauges:?}"));
@@ -165,9 +166,9 @@
 #[test]
 fn answers_carry_the_result_as_it_came_and_the_fields_asked_for() {
     let (mut plain, mut full) = (Vec::new(), Vec::new());
-    msgpack::settled(&mut plain, 7, &[1, 2, 255], None);
+    msgpack::settled(&mut plain, CallNo(7), &[1, 2, 255], None);
     assert_eq!(plain, [0x94, 1, 7, 0xc0, 0x92, 0xc4, 3, 1, 2, 255, 0x80]);
-    msgpack::declined(&mut full, 300, Some(0.85), Some(Duration::from_micros(1200)), true);
+    msgpack::declined(&mut full, CallNo(300), Some(0.85), Some(Duration::from_micros(1200)), true);
     let text = String::from_utf8_lossy(&full).to_string();
     for part in ["Overloaded", "hint", "0.85", "backoff", "\u{0}2", "final"] {
         assert!(text.replace("\u{fffd}", "").contains(part.trim_start_matches('\u{0}')), "{part}: {text}");
@@ -269,7 +270,7 @@
     assert!(report.contains("Content-Length: 15\r\n"));
     let mut said = Vec::new();
     pool::spawn(&mut said, rid, "p", b"\0\r\n");
-    pool::pass(&mut said, rid, 8);
+    pool::pass(&mut said, rid, Notice(8));
     assert_eq!(said, format!("spawn {RID} p 3\r\n\0\r\n\r\npass {RID} 8\r\n").into_bytes());
     assert!(Rid::new("9b1f03aa5c7e2d4g").is_none() && Rid::new("9b").is_none());
 }
--- a/crates/aldercrank-server/tests/suite/core.rs
+++ b/crates/aldercrank-server/tests/suite/core.rs
@@ -1,10 +1,10 @@
 //! The core between fakes: the four rules on generated inputs beside a plain model, and single cases.
 
 use aldercrank::{Arrival, CallerId, Outcome, Settings, TxnId, Value};
-use aldercrank_server::core::{Ask, ConnId, Core, Ports, Reminder, Seat};
+use aldercrank_server::core::{Ask, CallNo, ConnId, Core, Ports, Reminder, Seat};
 use aldercrank_server::deadlines::Deadlines;
 use aldercrank_server::keys::Mark;
-use aldercrank_server::pool::Rid;
+use aldercrank_server::pool::{Notice as Number, Rid};
 use quickcheck::{Gen, QuickCheck, TestResult};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
@@ -181,8 +181,8 @@
     fn supply(&mut self, rid: Rid, reply: &[u8]) {
         self.say(Said::Supply(rid, reply.to_vec()));
     }
-    fn pass(&mut self, rid: Rid, notice: u64) {
-        self.say(Said::Pass(rid, notice));
+    fn pass(&mut self, rid: Rid, notice: Number) {
+        self.say(Said::Pass(rid, notice.0));
     }
     fn poll(&mut self, tag: u64) {
         self.say(Said::Poll(tag));
@@ -245,7 +245,7 @@
         let (now, call) = (self.now(), self.next);
         let (arrived, expiry) = (now.saturating_sub(lay), now + left);
         let rid = Rid::new(&format!("{call:016x}")).unwrap();
-        let seat = Seat { conn: ConnId(call % 3), call };
+        let seat = Seat { conn: ConnId(call % 3), call: CallNo(call) };
         let body = vec![call as u8; 3];
         let seen = Seen { rid, token, arrived, expiry, body: body.clone(), answers: 0, gone: false };
         self.world.0.borrow_mut().seen.insert(seat, seen);
@@ -299,7 +299,7 @@
                 Ok((_, Notice::Ended(rid, how, bytes))) => {
                     self.core.run_ended(now, rid, how, MS * 100, &bytes)
                 }
-                Ok((n, Notice::Blocked(rid, body))) => self.core.call_needed(now, rid, n, &body),
+                Ok((n, Notice::Blocked(rid, body))) => self.core.call_needed(now, rid, Number(n), &body),
             }
         }
     }
@@ -540,7 +540,7 @@
         (901, "p1", Rid::new("00000000000000fe").unwrap(), None),
         (902, "p0", rid, None),
     ] {
-        let seat = Seat { conn: ConnId(9), call };
+        let seat = Seat { conn: ConnId(9), call: CallNo(call) };
         let seen = play.world.0.borrow().seen[&good].clone();
         let odd = Seen { rid: Rid::new(&format!("{call:016}")).unwrap(), answers: 0, ..seen };
         play.world.0.borrow_mut().seen.insert(seat, odd);
@@ -557,7 +557,7 @@
     // Notices for ids that were never heard of change nothing.
     let stranger = Rid::new("ffffffffffffffff").unwrap();
     play.core.run_ended(play.now(), stranger, Outcome::Completed, MS, b"x");
-    play.core.call_needed(play.now(), stranger, 99, b"x");
+    play.core.call_needed(play.now(), stranger, Number(99), b"x");
     play.core.call_ended(play.now(), TxnId(4_000_000_000), Outcome::Completed, b"x");
     assert_eq!((play.answers(good), play.core.owed()), (0, 1));
 }
@@ -629,7 +629,7 @@
     let mut play = Play::new();
     play.pass(MS * 500);
     // One that came in 1970, by its word: gone long ago, declined, and no proof of slow reading.
-    let seat = Seat { conn: ConnId(8), call: 1 };
+    let seat = Seat { conn: ConnId(8), call: CallNo(1) };
     let rid = Rid::new("00000000000000aa").unwrap();
     let (arrived, expiry) = (Duration::ZERO, play.now());
     let seen = Seen { rid, token: None, arrived, expiry, body: vec![], answers: 0, gone: false };
