--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -252,7 +252,7 @@
             if ready.writable {
                 server.edge_writable(number.get());
             }
-            server.edge_turn(number.get());
+            server.edge_ready(number.get());
         });
         let conn = match link {
             Ok(link) => Conn { link, calls: BTreeSet::new(), state: State::Open, queued: false, quiet: now },
@@ -278,6 +278,17 @@
         }
     }
 
+    /// Something has come: it is read at once, but after a long round of reading waits for its turn.
+    fn edge_ready(&mut self, conn: ConnId) {
+        let now = self.now();
+        let began = *self.round.get_or_insert(now);
+        if now < began + self.slice {
+            self.edge_readable(conn);
+        } else {
+            self.edge_turn(conn);
+        }
+    }
+
     /// Reads a connection once; one that may have more waits for its next turn.
     pub fn edge_readable(&mut self, conn: ConnId) {
         let fill = match self.net().edge.get(conn) {
--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -145,6 +145,8 @@
     stop: Duration,
     /// How long connections are read before what is due has its turn.
     slice: Duration,
+    /// When this round's reading began.
+    round: Option<Duration>,
     listener: Option<Rc<TcpListener>>,
     listening: Option<RegistrationToken>,
 }
@@ -239,6 +241,7 @@
     /// One turn after the loop's: what has more to read, what is due, what has changed.
     fn turn(&mut self) {
         self.edge_turns(self.slice);
+        self.round = None;
         if std::mem::take(&mut self.net().pool_again) {
             self.pool_readable();
         }
@@ -317,6 +320,7 @@
         room: (config.memory as f64 * RESULTS_SHARE) as usize,
         stop: config.stop,
         slice: slack.mul_f64(SLICE_SHARE),
+        round: None,
         listener: Some(listener),
         listening: Some(listening),
     };
