--- a/crates/aldercrank-server/tests/suite/sockets.rs
+++ b/crates/aldercrank-server/tests/suite/sockets.rs
@@ -319,9 +319,10 @@
     let mut pool = PoolEnd::accept(&program.pool);
     pool.bound("1", "99000");
     pool.finish(1, &rid(2), b"old");
-    pool.finish(2, &rid(2), b"two");
-    pool.finish(3, &rid(9), b"for nobody");
+    pool.finish(2, &rid(9), b"for nobody");
     pool.say("gibberish\r\nunknown spawn 77\r\n");
+    // The last one is the one that shows, so that all of them have been read when the link goes.
+    pool.finish(3, &rid(2), b"two");
     let heard = edge.hears(&[b"two"]);
     assert!(!heard.windows(3).any(|w| w == b"old"));
     // One that came up after the link was lost has nothing of what the other ran.
@@ -502,3 +503,28 @@
     edge.ask(6, "buy", &rid(6), Some(&rid(6)), b"");
     assert_eq!(pool.next().0[1], rid(6));
 }
+
+#[test]
+fn an_interrupted_txn_is_stopped_and_gets_no_answer_and_one_without_sense_gets_an_error() {
+    let mut program = Program::start(|_| None);
+    let mut pool = program.serving();
+    let mut edge = program.connect();
+    edge.ask(1, "map", &rid(1), None, b"");
+    edge.ask(2, "buy", &rid(2), Some("t"), b"");
+    assert_eq!([pool.next().0[1].clone(), pool.next().0[1].clone()], [rid(1), rid(2)]);
+    (1..=2).for_each(|n| edge.0.write_all(&interrupt(n)).unwrap());
+    // What may run again is stopped; what runs once goes on, and a repeat gets what came of it.
+    assert_eq!(pool.next().0, ["suspend".to_string(), rid(1)]);
+    pool.say(&format!("finished 1 {} halted 9 0\r\n\r\n", rid(1)));
+    edge.ask(3, "buy", &rid(3), Some("t"), b"");
+    pool.finish(2, &rid(2), b"two");
+    // An interrupt that crosses the answer changes nothing; nor does one for a call that never was.
+    edge.0.write_all(&interrupt(3)).unwrap();
+    edge.0.write_all(&interrupt(99)).unwrap();
+    edge.0.write_all(&call(4, "map", &[("rid", &rid(4)), ("t0", "soon"), ("budget", "9")], b"")).unwrap();
+    edge.0.write_all(&check(5)).unwrap();
+    let heard = edge.hears(&[&[0x94, 1, 4, 0x92], b"Internal", &[0x94, 1, 5, 0xc0]]);
+    let answered = |n: u8| heard.windows(3).filter(|w| *w == [0x94, 1, n]).count();
+    assert_eq!((answered(1), answered(2), answered(4)), (0, 0, 1));
+    assert!(answered(3) <= 1);
+}
