--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The sockets: one loop on one thread, with everything that it serves.
 
+mod conns;
 mod edge;
 mod index;
 mod link;
@@ -61,7 +62,7 @@
     pool_addr: SocketAddr,
     index_addr: SocketAddr,
     members_addr: SocketAddr,
-    edge: edge::Conns,
+    edge: conns::Conns,
     pool: pool::PoolLink,
     calls: index::Calls,
     reports: members::Reports,
@@ -302,7 +303,7 @@
         pool_addr: config.pool,
         index_addr: config.index,
         members_addr: config.members,
-        edge: edge::Conns::at_most(share(EDGE_SHARE)),
+        edge: conns::Conns::at_most(share(EDGE_SHARE)),
         pool: pool::PoolLink::default(),
         calls: index::Calls::at_most(share(CALLS_SHARE)),
         reports: members::Reports::default(),
