--- a/crates/aldercrank-server/src/config.rs
+++ b/crates/aldercrank-server/src/config.rs
@@ -10,7 +10,8 @@
     pub listen: SocketAddr,
     pub pool: SocketAddr,
     pub members: SocketAddr,
-    pub index: SocketAddr,
+    /// Not needed where no product makes calls.
+    pub index: Option<SocketAddr>,
     /// From the notice to leave until the process is killed.
     pub stop: Duration,
     pub memory: usize,
@@ -56,6 +57,7 @@
         if settings.text("profiles.0.name").is_none() {
             return Err("settings.profiles names no product".to_string());
         }
+        let calls = settings.text("family_info.below") != Some("none");
         let sockets = limit("sockets")? as usize;
         if sockets < 32 {
             return Err("limits.sockets is under 32".to_string());
@@ -65,7 +67,7 @@
             listen: addr("listen", "ROUTER_LISTEN")?,
             pool: addr("pool", "")?,
             members: addr("members", "")?,
-            index: addr("index", "")?,
+            index: if calls || json.get("index").is_some() { Some(addr("index", "")?) } else { None },
             stop: Duration::from_secs_f64(count(json.get("stop_ms"), "stop_ms")? / 1e3),
             memory: (limit("memory_mb")? * 1e6) as usize,
             sockets,
--- a/crates/aldercrank-server/src/net/index.rs
+++ b/crates/aldercrank-server/src/net/index.rs
@@ -50,7 +50,8 @@
     pub fn call(&mut self, txn: TxnId, rid: Rid, body: &[u8], give_up: Duration) {
         let now = self.clock.now();
         let conn = self.idle_conn().or_else(|| self.new_conn());
-        let request = index::request(&self.index_addr.to_string(), rid, give_up, body);
+        let host = self.index_addr.map(|addr| addr.to_string()).unwrap_or_default();
+        let request = index::request(&host, rid, give_up, body);
         if let Some(c) = conn.and_then(|conn| self.calls.conns.get_mut(conn.0)) {
             c.busy = Some(txn);
             c.link.input.clear();
@@ -80,9 +81,10 @@
             log::warn!("no room for another call");
             return None;
         }
+        let to = self.index_addr?;
         let cell = Rc::new(Cell::new(None));
         let number: Rc<Cell<Option<CallConn>>> = cell.clone();
-        let link = Link::dial(&self.on_loop, self.index_addr, move |_, server: &mut Server| {
+        let link = Link::dial(&self.on_loop, to, move |_, server: &mut Server| {
             if let Some(conn) = number.get() {
                 server.call_ready(conn);
             }
--- a/crates/aldercrank-server/src/net/members.rs
+++ b/crates/aldercrank-server/src/net/members.rs
@@ -22,7 +22,7 @@
 impl Server {
     /// The time to report has come; one that is still out by then is given up.
     pub fn report(&mut self) {
-        let fit = self.fit();
+        let fit = self.listed();
         let mut net = self.net();
         let net = &mut *net;
         let now = net.clock.now();
@@ -64,7 +64,7 @@
     }
 
     fn report_ready(&mut self) {
-        let fit = self.fit();
+        let fit = self.listed();
         let mut net = self.net();
         let net = &mut *net;
         let Some(link) = &mut net.reports.link else { return };
--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -60,7 +60,7 @@
     deadlines: Deadlines<Due>,
     name: String,
     pool_addr: SocketAddr,
-    index_addr: SocketAddr,
+    index_addr: Option<SocketAddr>,
     members_addr: SocketAddr,
     edge: conns::Conns,
     pool: pool::PoolLink,
@@ -144,6 +144,7 @@
     settings: Settings,
     room: usize,
     stop: Duration,
+    follows_health: bool,
     /// How long connections are read before what is due has its turn.
     slice: Duration,
     /// When this round's reading began.
@@ -165,11 +166,16 @@
         Ways(self.net.clone())
     }
 
-    /// What health checks and the membership service hear.
+    /// What health checks hear.
     fn fit(&self) -> bool {
         self.phase.serving() && self.net().good
     }
 
+    /// What the membership service hears: it follows health only where the settings say so.
+    fn listed(&self) -> bool {
+        self.phase.serving() && (!self.follows_health || self.net().good)
+    }
+
     /// There may be room again for connections that were left waiting.
     fn listen_again(&mut self) {
         if let Some(token) = self.listening {
@@ -313,6 +319,7 @@
         good_changed: false,
     };
     let slack = config.settings.span("rules.answer_slack").unwrap_or(NAP);
+    let follows_health = config.settings.flag("family_info.readiness") != Some(false);
     let mut server = Server {
         net: Rc::new(RefCell::new(net)),
         core: None,
@@ -320,6 +327,7 @@
         settings: config.settings,
         room: (config.memory as f64 * RESULTS_SHARE) as usize,
         stop: config.stop,
+        follows_health,
         slice: slack.mul_f64(SLICE_SHARE),
         round: None,
         listener: Some(listener),
--- a/crates/aldercrank-server/tests/suite/tables.rs
+++ b/crates/aldercrank-server/tests/suite/tables.rs
@@ -115,6 +115,11 @@
         let why = Config::parse(&good.replace(from, to), none).err().unwrap_or_default();
         assert!(why.contains(field) && why.lines().count() == 1, "{to}: {why}");
     }
+    // Where nothing calls, no index is needed; else it is.
+    let without = good.replace("\"index\"", "\"x\"");
+    assert!(Config::parse(&without, none).err().unwrap().contains("index"));
+    let calm = without.replace("\"settings\":{", "\"settings\":{\"family_info\":{\"below\":\"none\"},");
+    assert_eq!(Config::parse(&calm, none).ok().unwrap().index, None);
     let var = |name: &str| (name == "ROUTER_NAME").then(|| "n9".to_string());
     assert_eq!(Config::parse(&good.replacen("\"name\"", "\"title\"", 1), var).ok().unwrap().name, "n9");
 }
