--- a/crates/aldercrank-server/src/clock.rs
+++ b/crates/aldercrank-server/src/clock.rs
@@ -28,8 +28,8 @@
     }
 }
 
-/// How long ago a Unix time was, and how long it is until another; none of it below zero, so that a clock
-/// that was set back makes nothing that has not come yet.
-pub fn ago(unix_now: Duration, then: Duration) -> Duration {
-    unix_now.saturating_sub(then)
+/// How long ago a time was; nothing for one that has not come, so that a clock set back makes no span
+/// below zero.
+pub fn ago(now: Duration, then: Duration) -> Duration {
+    now.saturating_sub(then)
 }
