SIGHUP moves the links; a token with another body is no repeat; calls on fresh links

Checked: the exit code is the signal's, no handler in net/mod.rs; the settled ones carried the token of a referenced txn with another body, which keys.rs linked by the token alone.

Changed: net/reload.rs reads the file anew and moves pool, index and membership links, a bad file moves none; a mark is a digest of product, token and body; a run that the pool does not know or did not start leaves no mark (Keys::never_ran); each call and each report has a connection of its own, so a reset there proves what it seems to and an unanswered report holds up nothing; http.rs reads words in between by a loop, with one bound for all heads, and takes neither signed nor differing lengths.

--- a/crates/aldercrank-server/src/config.rs
+++ b/crates/aldercrank-server/src/config.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+#[derive(Clone)]
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
@@ -29,6 +30,19 @@
         Config::parse(&text, var).map_err(|why| format!("{path}: {why}"))
     }
 
+    /// Which fields of a new configuration differ that can't change while serving: all but the addresses of
+    /// pool, index and membership service.
+    pub fn fixed(&self, new: &Config) -> Vec<&'static str> {
+        let fields = [
+            ("name", self.name == new.name),
+            ("listen", self.listen == new.listen),
+            ("stop_ms", self.stop == new.stop),
+            ("limits", (self.memory, self.sockets) == (new.memory, new.sockets)),
+            ("settings", self.settings.0 == new.settings.0),
+        ];
+        fields.into_iter().filter(|(_, same)| !same).map(|(name, _)| name).collect()
+    }
+
     /// Takes the configuration's text; says in one line which field is missing or makes no sense.
     pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let json: Json = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
--- a/crates/aldercrank-server/src/core.rs
+++ b/crates/aldercrank-server/src/core.rs
@@ -248,7 +248,7 @@
     fn start(&mut self, id: TxnId) {
         let Some(txn) = self.txn(id).filter(|t| t.stage == Stage::Held) else { return };
         txn.stage = Stage::Running;
-        if let Some(mark) = txn.mark.clone() {
+        if let Some(mark) = txn.mark {
             let before = self.keys.started(&mark, id);
             before.into_iter().for_each(|b| self.release(b));
         }
@@ -281,7 +281,7 @@
 
     fn keep(&mut self, id: TxnId, span: Duration) {
         let (until, longest) = (self.now + span, self.longest);
-        let Some(mark) = self.txn(id).and_then(|t| t.mark.clone()) else { return };
+        let Some(mark) = self.txn(id).and_then(|t| t.mark) else { return };
         if let Some((key, before)) = self.keys.keep(&mark, id, until) {
             let after = self.keys.ends(key, longest).map_or(span, |end| end.saturating_sub(self.now));
             self.ports.remind(Reminder::Key(key), after);
@@ -290,7 +290,7 @@
     }
 
     fn forget(&mut self, id: TxnId) {
-        if let Some(mark) = self.txn(id).and_then(|t| t.mark.clone()) {
+        if let Some(mark) = self.txn(id).and_then(|t| t.mark) {
             self.keys.forget(&mark, id);
             self.release(id);
         }
@@ -402,7 +402,7 @@
             let Some(txn) = self.brain.host.txn(id) else { continue };
             match txn.stage {
                 Stage::Joined => {
-                    let result = txn.mark.clone().map(|mark| self.brain.host.keys.fate(&mark));
+                    let result = txn.mark.map(|mark| self.brain.host.keys.fate(&mark));
                     match result.filter(|_| how == Outcome::Completed) {
                         Some(Fate::Settled(bytes)) => self.end_join(id, Some(&bytes)),
                         _ => self.end_join(id, None),
@@ -522,12 +522,15 @@
             }
         }
         let Some(txn) = hands.txn(id) else { return };
-        let (mark, waiters) = (txn.mark.clone(), std::mem::take(&mut txn.waiters));
+        let (mark, waiters) = (txn.mark, std::mem::take(&mut txn.waiters));
         if txn.called.take().is_some() {
             hands.ports.hang_up(id);
         }
         if let Some(mark) = mark {
-            hands.keys.ended(&mark, id, settled);
+            match how.never_ran() {
+                true => hands.keys.never_ran(&mark, id),
+                false => hands.keys.ended(&mark, id, settled),
+            }
         }
         hands.over(id);
         self.brain.run_ended(now, id, how, took);
--- a/crates/aldercrank-server/src/http.rs
+++ b/crates/aldercrank-server/src/http.rs
@@ -2,54 +2,81 @@
 
 use std::ops::Range;
 
+/// The longest that heads may be, those of words in between counted in; and the longest body. Nothing is set
+/// aside for a length that is only claimed.
 const HEAD: usize = 8 * 1024;
-const BODY: usize = 256 * 1024;
+const BODY: usize = 64 * 1024;
 
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
     pub status: u16,
     /// Marked as turned away unexamined.
     pub shed: bool,
-    /// The connection may be used again.
-    pub keep: bool,
     pub body: Range<usize>,
 }
 
-/// Reads one answer off the front: nothing while it is not whole, an error where it can't be read.
-pub fn reply(buf: &[u8]) -> Result<Option<Reply>, &'static str> {
+/// Reads one answer, however it is cut: a head that has been read is not read again.
+#[derive(Debug, Default)]
+pub struct Reader {
+    /// Where the answer's own head begins, behind the words in between.
+    at: usize,
+    head: Option<Reply>,
+}
+
+impl Reader {
+    /// `buf` holds all that has come so far: nothing while the answer is not whole, an error where it can't be
+    /// read. What stands behind it is nobody's.
+    pub fn read(&mut self, buf: &[u8]) -> Result<Option<Reply>, &'static str> {
+        while self.head.is_none() {
+            let Some((length, reply)) = head(&buf[self.at..])? else {
+                // Words in between without end are a head without end.
+                return if buf.len() <= HEAD { Ok(None) } else { Err("a head over the limit") };
+            };
+            self.at += length;
+            if self.at > HEAD {
+                return Err("a head over the limit");
+            }
+            let own = |r: Reply| Reply { body: self.at..self.at + r.body.len(), ..r };
+            self.head = reply.map(own);
+        }
+        Ok(self.head.clone().filter(|reply| reply.body.end <= buf.len()))
+    }
+}
+
+/// A head's length and what it says; without the latter it is a word in between, and the answer follows.
+#[allow(clippy::type_complexity)]
+fn head(buf: &[u8]) -> Result<Option<(usize, Option<Reply>)>, &'static str> {
     let mut headers = [httparse::EMPTY_HEADER; 64];
     let mut answer = httparse::Response::new(&mut headers);
     let head = match answer.parse(buf) {
         Ok(httparse::Status::Complete(head)) => head,
-        Ok(httparse::Status::Partial) if buf.len() <= HEAD => return Ok(None),
-        Ok(httparse::Status::Partial) => return Err("a head over the limit"),
+        Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err("not HTTP"),
     };
     let status = answer.code.unwrap_or_default();
-    let field = |name: &str| {
-        let found = answer.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
-        found.map(|h| String::from_utf8_lossy(h.value).trim().to_string())
-    };
     if status / 100 == 1 {
-        // A word in between; the answer follows.
-        let shift = |r: Reply| Reply { body: r.body.start + head..r.body.end + head, ..r };
-        return Ok(reply(&buf[head..])?.map(shift));
+        return Ok(Some((head, None)));
     }
-    if field("transfer-encoding").is_some() {
+    let fields = |name: &'static str| {
+        let named = answer.headers.iter().filter(move |h| h.name.eq_ignore_ascii_case(name));
+        named.map(|h| h.value.trim_ascii())
+    };
+    if fields("transfer-encoding").next().is_some() {
         return Err("a body in chunks");
     }
-    let length = match field("content-length").map(|n| n.parse::<usize>()) {
-        Some(Ok(n)) if n <= BODY => n,
-        Some(_) => return Err("a length that makes no sense"),
+    let mut lengths = fields("content-length");
+    let length = match lengths.next() {
+        Some(first) if lengths.any(|other| other != first) => return Err("lengths that differ"),
+        Some(text) => number(text).filter(|n| *n <= BODY).ok_or("a length that makes no sense")?,
         None if status == 204 || status == 304 => 0,
         None => return Err("a body of no length"),
     };
-    if buf.len() < head + length {
-        return Ok(None);
-    }
-    let keep = answer.version == Some(1)
-        && !field("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"))
-        && buf.len() == head + length;
-    let shed = field("x-shed").as_deref() == Some("1");
-    Ok(Some(Reply { status, shed, keep, body: head..head + length }))
+    let shed = fields("x-shed").any(|v| v == b"1");
+    Ok(Some((head, Some(Reply { status, shed, body: 0..length }))))
+}
+
+/// Digits alone: no sign, no list.
+fn number(text: &[u8]) -> Option<usize> {
+    let digits = std::str::from_utf8(text).ok().filter(|t| t.bytes().all(|b| b.is_ascii_digit()))?;
+    digits.parse().ok()
 }
--- a/crates/aldercrank-server/src/keys.rs
+++ b/crates/aldercrank-server/src/keys.rs
@@ -3,17 +3,38 @@
 use crate::slots::{Slot, Slots};
 use aldercrank::TxnId;
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
 
 /// The most entries, some of them past their end.
 const ENTRIES: usize = 60_000;
 
-/// What links a txn with its repeats.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// What links a txn with its repeats, in as many bytes whatever was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Mark {
-    Token(String),
-    Subject(String, String),
+    Token([u64; 2]),
+    Subject([u64; 2]),
+}
+
+impl Mark {
+    /// All tries of one txn carry one product and one body. A token that comes with others is no repeat: it is
+    /// neither answered from the first, nor does it stand in the way of the true one where it comes first.
+    pub fn token(product: &str, token: &str, body: &[u8]) -> Mark {
+        Mark::Token(digest(&(product, token, body)))
+    }
+
+    pub fn subject(product: &str, subject: &str) -> Mark {
+        Mark::Subject(digest(&(product, subject)))
+    }
+}
+
+fn digest(what: &impl Hash) -> [u64; 2] {
+    [0u8, 1].map(|part| {
+        let mut hasher = DefaultHasher::new();
+        (part, what).hash(&mut hasher);
+        hasher.finish()
+    })
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -77,9 +98,9 @@
             let named = entry.ran == Some(before) || before == txn;
             return Some((self.marks[mark], Some(before).filter(|_| !named)));
         }
-        let entry = Entry { mark: mark.clone(), holder: txn, ran: None, fate: Fate::Open, until };
+        let entry = Entry { mark: *mark, holder: txn, ran: None, fate: Fate::Open, until };
         let key = KeyId(self.entries.insert(entry)?.0);
-        self.marks.insert(mark.clone(), key);
+        self.marks.insert(*mark, key);
         Some((key, None))
     }
 
@@ -110,6 +131,15 @@
         entry.ran.replace(txn).filter(|before| *before != txn)
     }
 
+    /// The run never began: there is nothing to repeat, and the next try is not kept from running.
+    pub fn never_ran(&mut self, mark: &Mark, txn: TxnId) {
+        let Some(entry) = self.entry(mark).filter(|e| e.ran == Some(txn)) else { return };
+        entry.ran = None;
+        if entry.holder == txn {
+            self.drop_entry(self.marks[mark]);
+        }
+    }
+
     /// The run has ended, with a result where it went well.
     pub fn ended(&mut self, mark: &Mark, txn: TxnId, result: Option<&[u8]>) {
         let Some(entry) = self.entry(mark).filter(|e| e.ran == Some(txn)) else { return };
--- a/crates/aldercrank-server/src/main.rs
+++ b/crates/aldercrank-server/src/main.rs
@@ -40,7 +40,8 @@
         }),
         Command::Serve { verbose, config } => {
             Logger::install(if verbose { log::LevelFilter::Debug } else { log::LevelFilter::Info });
-            Config::load(config.as_deref()).and_then(|c| net::serve(c).map_err(|e| e.to_string()))
+            let read = move || Config::load(config.as_deref());
+            read().and_then(|c| net::serve(c, read).map_err(|e| e.to_string()))
         }
     };
     match run {
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -41,8 +41,8 @@
             // And not longer than told.
             let left = t0.checked_add(budget)?.saturating_sub(unix).min(budget);
             let mark = match (fields.token, fields.obj) {
-                (Some(token), _) => Some(Mark::Token(token.to_string())),
-                (None, Some(obj)) => Some(Mark::Subject(method.to_string(), obj.to_string())),
+                (Some(token), _) => Some(Mark::token(method, token, body)),
+                (None, Some(obj)) => Some(Mark::subject(method, obj)),
                 (None, None) => None,
             };
             let arrival = Arrival {
--- a/crates/aldercrank-server/src/net/link.rs
+++ b/crates/aldercrank-server/src/net/link.rs
@@ -28,6 +28,7 @@
     pub input: Vec<u8>,
     out: Vec<u8>,
     sent: usize,
+    began: bool,
     connecting: bool,
 }
 
@@ -76,7 +77,7 @@
                 Ok(PostAction::Continue)
             })
             .map_err(|e| e.error)?;
-        Ok(Link { stream, token, input: Vec::new(), out: Vec::new(), sent: 0, connecting })
+        Ok(Link { stream, token, input: Vec::new(), out: Vec::new(), sent: 0, began: false, connecting })
     }
 
     /// Whether connecting has come to its end, well or not.
@@ -100,6 +101,11 @@
         self.out.len() - self.sent
     }
 
+    /// Whether any byte has been written.
+    pub fn began(&self) -> bool {
+        self.began
+    }
+
     /// Lets `write` add to what is to be written, and writes what can be.
     pub fn say(&mut self, write: impl FnOnce(&mut Vec<u8>)) {
         write(&mut self.out);
@@ -110,7 +116,7 @@
     pub fn flush(&mut self) {
         while self.sent < self.out.len() && !self.connecting {
             match (&*self.stream).write(&self.out[self.sent..]) {
-                Ok(n) if n > 0 => self.sent += n,
+                Ok(n) if n > 0 => (self.sent, self.began) = (self.sent + n, true),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 _ => break,
             }
@@ -146,7 +152,7 @@
     }
 
     /// Ends what we say, so that the other side reads all of it before it closes.
-    pub fn hush(&mut self) {
+    pub fn hush(&self) {
         let _ = self.stream.shutdown(Shutdown::Write);
     }
 
--- a/crates/aldercrank-server/src/net/members.rs
+++ b/crates/aldercrank-server/src/net/members.rs
@@ -1,124 +1,132 @@
 //! Reports to the membership service, often enough that no entry lapses, and at once when the word changes.
+//! Each has a connection of its own: one that stays without an answer, which counts all the same, holds up
+//! neither the next nor a change of word.
 
-use super::link::{Fill, Link, Loop};
+use super::link::{Fill, Link};
 use super::{Due, Server};
 use crate::http;
 use crate::members::{self, EVERY, LAPSE};
+use crate::slots::{Slot, Slots};
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Between tries while the service can't be reached.
 const RETRY: Duration = Duration::from_millis(200);
-/// A report without an answer for this long is given up: a slow service is waited for, within the lapse.
-const PATIENCE: Duration = Duration::from_millis(LAPSE.as_millis() as u64 * 2 / 3);
+/// As many as come within the lapse may be out; the oldest gives way.
+const MOST: usize = LAPSE.as_secs().div_ceil(EVERY.as_secs()) as usize;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ReportId(Slot);
+
+struct Report {
+    link: Link,
+    reader: http::Reader,
+    fit: bool,
+    since: Duration,
+}
 
 #[derive(Default)]
 pub struct Reports {
-    link: Option<Link>,
-    /// The word that is out, and since when; and the one that was taken last.
-    out: Option<(bool, Duration)>,
+    out: Slots<Report>,
+    /// The word that was taken last.
     taken: Option<bool>,
 }
 
-impl Reports {
-    fn close(&mut self, on_loop: &Loop) {
-        if let Some(link) = self.link.take() {
-            link.close(on_loop);
-        }
-    }
-}
-
 impl Server {
-    /// The time to report has come; one that is still out by then is given up.
+    /// The time to report has come.
     pub fn report(&mut self) {
         let fit = self.listed();
         let mut net = self.net();
         let net = &mut *net;
         let now = net.clock.now();
-        if let Some((_, since)) = net.reports.out {
-            if now < since + PATIENCE {
-                return net.deadlines.set(Due::Report, since + PATIENCE);
+        let mut out: Vec<(Duration, Slot, bool)> =
+            net.reports.out.iter().map(|(slot, r)| (r.since, slot, r.fit)).collect();
+        out.sort();
+        // An older word must not come after a newer one, nor may those without an answer pile up.
+        let room = (out.len() + 1).saturating_sub(MOST);
+        for (n, (since, slot, word)) in out.into_iter().enumerate() {
+            if n < room || word != fit || now >= since + LAPSE {
+                net.end_report(slot);
             }
-            log::warn!("the membership service does not answer");
-            net.reports.out = None;
-            net.reports.close(&net.on_loop);
         }
         net.deadlines.set(Due::Report, now + EVERY);
-        // One that has said more, or its end, can't be used again.
-        if net.reports.link.as_mut().is_some_and(|link| link.fill() != Fill::Dry) {
-            net.reports.close(&net.on_loop);
-        }
-        if net.reports.link.is_none() {
-            let dialled = Link::dial(&net.on_loop, net.members_addr, |_, server: &mut Server| {
-                server.report_ready();
-            });
-            match dialled {
-                Ok(link) => net.reports.link = Some(link),
-                Err(e) => {
-                    log::warn!("the membership service can't be reached: {e}");
-                    return net.deadlines.set(Due::Report, now + RETRY);
-                }
+        let cell = Rc::new(Cell::new(None));
+        let number = cell.clone();
+        let dialled = Link::dial(&net.on_loop, net.members_addr, move |_, server: &mut Server| {
+            if let Some(id) = number.get() {
+                server.report_ready(id);
+            }
+        });
+        match dialled {
+            Ok(mut link) => {
+                let report = members::report(&net.members_addr.to_string(), &net.name, fit);
+                link.say(|out| out.extend(report));
+                let report = Report { link, reader: http::Reader::default(), fit, since: now };
+                cell.set(net.reports.out.insert(report).map(ReportId));
+            }
+            Err(e) => {
+                log::warn!("the membership service can't be reached: {e}");
+                net.deadlines.set(Due::Report, now + RETRY);
             }
-        }
-        if let Some(link) = &mut net.reports.link {
-            let report = members::report(&net.members_addr.to_string(), &net.name, fit);
-            link.input.clear();
-            link.say(|out| out.extend(report));
-            net.reports.out = Some((fit, now));
         }
     }
 
-    fn report_ready(&mut self) {
-        let fit = self.listed();
+    fn report_ready(&mut self, id: ReportId) {
         let mut net = self.net();
         let net = &mut *net;
-        let Some(link) = &mut net.reports.link else { return };
-        let lost = link.connected().is_err() || {
-            link.flush();
-            loop {
-                match link.fill() {
-                    Fill::More => {}
-                    Fill::Dry => break false,
-                    Fill::End => break true,
-                }
+        let Some(report) = net.reports.out.get_mut(id.0) else { return };
+        let stands = report.link.connected();
+        report.link.flush();
+        let reply = loop {
+            if stands.is_err() {
+                break Err("no connection");
+            }
+            match report.link.fill() {
+                Fill::Dry => return,
+                Fill::End => break Err("a close"),
+                Fill::More => match report.reader.read(&report.link.input) {
+                    Ok(None) => {}
+                    Ok(Some(reply)) => break Ok(reply.status),
+                    Err(why) => break Err(why),
+                },
             }
         };
-        let reply = http::reply(&link.input);
-        let usable = match &reply {
-            Ok(None) => true,
-            Ok(Some(reply)) => reply.keep,
-            Err(_) => false,
-        };
-        let keep = usable && !lost;
-        if let Ok(Some(reply)) = &reply {
-            link.input.clear();
-            match net.reports.out.take() {
-                Some((word, since)) if reply.status == 204 => {
-                    if net.reports.taken.replace(word) != Some(word) {
-                        log::info!("listed as {}", if word { "UP" } else { "OUT" });
-                    }
-                    // At once where it changed on the way.
-                    let next = if word == fit { since + EVERY } else { net.clock.now() };
-                    net.deadlines.set(Due::Report, next);
+        let word = report.fit;
+        net.end_report(id.0);
+        match reply {
+            Ok(204) => {
+                if net.reports.taken.replace(word) != Some(word) {
+                    log::info!("listed as {}", if word { "UP" } else { "OUT" });
                 }
-                _ => log::warn!("the membership service answered {}", reply.status),
             }
-        }
-        if !keep {
-            net.reports.close(&net.on_loop);
-            if net.reports.out.take().is_some() {
-                log::warn!("a report to the membership service was lost");
+            Ok(status) => log::warn!("the membership service answered {status}"),
+            Err(why) => {
+                log::warn!("a report to the membership service ended with {why}");
                 let at = net.clock.now() + RETRY;
                 net.deadlines.set(Due::Report, at);
             }
         }
     }
 
-    /// The word has changed: it is told at once, or as soon as the report that is out is answered.
+    /// The word, or the place to tell it, has changed: it is told at once.
     pub fn report_soon(&mut self) {
         let mut net = self.net();
-        if net.reports.out.is_none() {
-            let now = net.clock.now();
-            net.deadlines.set(Due::Report, now);
+        let now = net.clock.now();
+        net.deadlines.set(Due::Report, now);
+    }
+}
+
+impl super::Net {
+    fn end_report(&mut self, slot: Slot) {
+        if let Some(report) = self.reports.out.remove(slot) {
+            report.link.close(&self.on_loop);
         }
     }
+
+    /// None goes on at the old place.
+    pub fn end_reports(&mut self) {
+        let all: Vec<Slot> = self.reports.out.iter().map(|(slot, _)| slot).collect();
+        all.into_iter().for_each(|slot| self.end_report(slot));
+    }
 }
--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod link;
 mod members;
 mod pool;
+mod reload;
 
 use crate::clock::Clock;
 use crate::config::Config;
@@ -14,7 +15,7 @@
 use crate::phase::Phase;
 use crate::pool::{Notice, Rid};
 use crate::{msgpack, pool as words};
-use aldercrank::{Settings, TxnId};
+use aldercrank::TxnId;
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction, RegistrationToken};
@@ -44,7 +45,6 @@
     Core(Reminder),
     Idle(ConnId),
     Call(TxnId),
-    CallIdle(index::CallConn),
     PoolDial,
     Listen,
     Report,
@@ -145,7 +145,9 @@
     net: Rc<RefCell<Net>>,
     core: Option<Core<Ways>>,
     phase: Phase,
-    settings: Settings,
+    config: Config,
+    /// Reads the configuration again.
+    reread: Box<dyn Fn() -> Result<Config, String>>,
     room: usize,
     stop: Duration,
     follows_health: bool,
@@ -199,7 +201,6 @@
             }
             Due::Idle(conn) => self.edge_idle(conn),
             Due::Call(txn) => self.call_due(txn),
-            Due::CallIdle(conn) => self.net().drop_conn(conn),
             Due::PoolDial => self.pool_dial(),
             Due::Listen => self.listen_again(),
             Due::Report => self.report(),
@@ -215,7 +216,7 @@
         let now = self.now();
         let last_part = self.stop.mul_f64(LAST_PART);
         let stop = now + self.stop - last_part;
-        let grace = self.settings.span("rules.stop_sending_within").unwrap_or_default();
+        let grace = self.config.settings.span("rules.stop_sending_within").unwrap_or_default();
         let quiet = (now + grace).min(stop);
         if !self.phase.told_to_leave() {
             return;
@@ -284,12 +285,17 @@
     }
 }
 
-/// Serves until the notice to leave has been followed.
-pub fn serve(config: Config) -> std::io::Result<()> {
+/// Serves until the notice to leave has been followed. `reread` gives the configuration anew, at SIGHUP.
+pub fn serve(config: Config, reread: impl Fn() -> Result<Config, String> + 'static) -> std::io::Result<()> {
     let mut events: EventLoop<'static, Server> = EventLoop::try_new()?;
     let on_loop = events.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT])?;
-    on_loop.insert_source(signals, |_, _, server| server.told_to_leave()).map_err(|e| e.error)?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])?;
+    on_loop
+        .insert_source(signals, |event, _, server| match event.signal() {
+            Signal::SIGHUP => server.reload(),
+            _ => server.told_to_leave(),
+        })
+        .map_err(|e| e.error)?;
     let listener = Rc::new(TcpListener::bind(config.listen)?);
     listener.set_nonblocking(true)?;
     let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
@@ -309,7 +315,7 @@
         on_loop,
         clock: Clock::default(),
         deadlines: Deadlines::default(),
-        name: config.name,
+        name: config.name.clone(),
         pool_addr: config.pool,
         index_addr: config.index,
         members_addr: config.members,
@@ -328,16 +334,17 @@
         net: Rc::new(RefCell::new(net)),
         core: None,
         phase: Phase::Starting,
-        settings: config.settings,
+        reread: Box::new(reread),
         room: (config.memory as f64 * RESULTS_SHARE) as usize,
         stop: config.stop,
+        config,
         follows_health,
         slice: slack.mul_f64(SLICE_SHARE),
         round: None,
         listener: Some(listener),
         listening: Some(listening),
     };
-    log::info!("listening on {}", config.listen);
+    log::info!("listening on {}", server.config.listen);
     server.pool_dial();
     while !server.phase.stopped() {
         let nap = server.nap();
--- a/crates/aldercrank-server/src/net/pool.rs
+++ b/crates/aldercrank-server/src/net/pool.rs
@@ -18,6 +18,8 @@
     /// The last notice that was taken.
     last: Notice,
     bound: bool,
+    /// The link to the old place, until the new one is bound: what was said on it can still be read there.
+    parting: Option<Link>,
     /// When a bound link was lost.
     lost: Option<Duration>,
 }
@@ -45,7 +47,14 @@
 
 impl Pool for Hear<'_> {
     fn bound(&mut self, cold: bool, age: Duration) {
-        self.0.net().pool.bound = true;
+        {
+            let mut net = self.0.net();
+            let net = &mut *net;
+            net.pool.bound = true;
+            if let Some(old) = net.pool.parting.take() {
+                old.close(&net.on_loop);
+            }
+        }
         self.0.bound(cold, age);
     }
 
@@ -166,6 +175,25 @@
         }
     }
 
+    /// The pool is to be reached elsewhere. What it has said here is heard first; the rest follows on the new
+    /// link, by number. What was said here and not proved heard is as after a lost link.
+    pub fn pool_moved(&mut self) {
+        self.pool_readable();
+        {
+            let mut net = self.net();
+            let net = &mut *net;
+            let link = net.pool.link.take_if(|link| !link.connecting());
+            if let Some(link) = &link {
+                link.hush();
+            }
+            if let Some(older) = std::mem::replace(&mut net.pool.parting, link) {
+                older.close(&net.on_loop);
+            }
+        }
+        self.pool_lost("it has moved");
+        self.pool_dial();
+    }
+
     fn pool_lost(&mut self, why: &str) {
         log::warn!("the link to the pool is lost: {why}");
         {
@@ -198,7 +226,7 @@
                 net.clock.restart(age);
                 net.deadlines.rebase(before, age);
             }
-            let mut settings = self.settings.clone();
+            let mut settings = self.config.settings.clone();
             settings.set("family_info.cold", Value::Flag(cold));
             let core = Core::start(settings, age, self.room, self.ways());
             self.core = Some(core);
--- a/crates/aldercrank-server/tests/suite/codecs.rs
+++ b/crates/aldercrank-server/tests/suite/codecs.rs
@@ -215,10 +215,23 @@
     );
 }
 
+/// What has come so far, in parts, and the reply once it is whole.
+fn answer(parts: &[&[u8]]) -> Result<Option<(http::Reply, Vec<u8>)>, &'static str> {
+    let (mut reader, mut buf) = (http::Reader::default(), Vec::new());
+    for part in parts {
+        buf.extend(*part);
+        if let Some(reply) = reader.read(&buf)? {
+            let body = buf[reply.body.clone()].to_vec();
+            return Ok(Some((reply, body)));
+        }
+    }
+    Ok(None)
+}
+
 #[test]
 fn http_answers_are_read_when_whole_and_each_proves_what_its_status_says() {
-    let outcome = |text: &str| http::reply(text.as_bytes()).ok().flatten().map(|r| index::outcome(&r));
-    let answer =
+    let outcome = |text: &str| answer(&[text.as_bytes()]).ok().flatten().map(|r| index::outcome(&r.0));
+    let empty =
         |status: &str, fields: &str| format!("HTTP/1.1 {status} X\r\n{fields}Content-Length: 0\r\n\r\n");
     for (status, fields, how) in [
         ("200", "", Outcome::Completed),
@@ -232,26 +245,38 @@
         ("418", "", Outcome::Errored),
         ("201", "", Outcome::Errored),
     ] {
-        assert_eq!(outcome(&answer(status, fields)), Some(how), "{status} {fields}");
+        assert_eq!(outcome(&empty(status, fields)), Some(how), "{status} {fields}");
     }
-    let whole = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\na\r\n\0b";
+    // Words in between, however many, and noise or a second copy behind, leave a good reply as it is.
+    let good = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\ncontent-length: 5\r\n\r\na\r\n\0b";
+    let before = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n".repeat(20);
+    let whole = [before.as_slice(), good].concat();
     for at in 0..whole.len() {
-        assert_eq!(http::reply(&whole[..at]), Ok(None), "cut at {at}");
+        assert_eq!(answer(&[&whole[..at]]), Ok(None), "cut at {at}");
+    }
+    let single: Vec<&[u8]> = whole.chunks(1).collect();
+    for parts in [&[whole.as_slice(), good] as &[&[u8]], &[&whole, b"\xff\0"], &single] {
+        assert_eq!(answer(parts).unwrap().unwrap().1, b"a\r\n\0b");
     }
-    let reply = http::reply(whole).unwrap().unwrap();
-    assert_eq!((&whole[reply.body], reply.keep), (b"a\r\n\0b".as_slice(), true));
     for bad in [
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
         "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nabcde",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3, 3\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc",
+        "HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
         "SMTP ready\r\n\r\n",
     ] {
-        assert!(http::reply(bad.as_bytes()).is_err(), "{bad}");
+        assert!(answer(&[bad.as_bytes()]).is_err(), "{bad}");
     }
-    assert!(http::reply(&[b"HTTP/1.1 200 OK\r\nX: ".as_slice(), &[b'x'; 20_000]].concat()).is_err());
+    // A head that does not end, and words in between that do not: on the stack they were as many frames.
+    assert!(answer(&[&[b"HTTP/1.1 200 OK\r\nX: ".as_slice(), &[b'x'; 20_000]].concat()]).is_err());
+    assert!(answer(&[&b"HTTP/1.1 100 Continue\r\n\r\n".repeat(100_000)]).is_err());
     let closed = "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n";
-    assert_eq!(http::reply(closed.as_bytes()).unwrap().map(|r| (r.status, r.keep)), Some((204, false)));
+    assert_eq!(answer(&[closed.as_bytes()]).unwrap().map(|r| r.0.status), Some(204));
 }
 
 #[test]
@@ -286,8 +311,7 @@
         edge(&[&bytes]).len() <= bytes.len() + 1
             && edge(&[&wounded]).len() <= wounded.len()
             && lines(&[&bytes, &text]).len() <= bytes.len() + text.len()
-            && http::reply(&bytes).is_ok_and(|r| r.is_none_or(|r| r.body.end <= bytes.len()))
-                | http::reply(&bytes).is_err()
+            && answer(&[&bytes]).is_err() | answer(&bytes.chunks(7).collect::<Vec<_>>()).is_ok()
     }
     let mut tests = QuickCheck::new().tests(3000).rng(Gen::from_size_and_seed(120, 20261201));
     tests.quickcheck(any as fn(Vec<u8>, usize) -> bool);
--- a/crates/aldercrank-server/tests/suite/core.rs
+++ b/crates/aldercrank-server/tests/suite/core.rs
@@ -259,7 +259,7 @@
             caller: CallerId(1),
             ..Arrival::default()
         };
-        let mark = token.map(|t| Mark::Token(t.to_string()));
+        let mark = token.map(|t| Mark::token("p1", &t.to_string(), b""));
         self.core.txn_read(now, seat, Ask { rid, mark, arrival, body: &body });
         seat
     }
--- a/crates/aldercrank-server/tests/suite/sockets.rs
+++ b/crates/aldercrank-server/tests/suite/sockets.rs
@@ -118,6 +118,7 @@
 }
 
 struct Program {
+    told: serde_json::Value,
     child: Child,
     edge: SocketAddr,
     pool: TcpListener,
@@ -171,7 +172,7 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        Program { child, edge, pool, calls, reports, config: path, away }
+        Program { told: config, child, edge, pool, calls, reports, config: path, away }
     }
 
     /// Serving, with its link to the pool.
@@ -196,9 +197,21 @@
         }
     }
 
-    fn term(&mut self) {
+    fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+    }
+
+    fn term(&mut self) {
+        self.signal("-TERM");
+    }
+
+    /// The file as it was told, with these addresses in it, and the word that it is new.
+    fn reload(&self, addrs: &[(&str, SocketAddr)]) {
+        let mut told = self.told.clone();
+        addrs.iter().for_each(|(field, addr)| told[*field] = serde_json::json!(addr));
+        std::fs::write(&self.config, told.to_string()).unwrap();
+        self.signal("-HUP");
     }
 
     fn ended(&mut self) -> ExitStatus {
@@ -480,14 +493,12 @@
     let mut edge = program.connect();
     (1..=4).for_each(|n| edge.ask(n, "buy", &rid(n), Some(&rid(n)), b""));
     (1..=4).for_each(|n| assert_eq!(pool.next().0[1], rid(n)));
-    let pid = program.child.id().to_string();
-    let send = |signal: &str| assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
-    send("-STOP");
+    program.signal("-STOP");
     // While it stands still a result comes for one, and the time of all runs out; one more is asked.
     pool.finish(1, &rid(1), b"one");
     edge.ask(5, "buy", &rid(1), Some(&rid(1)), b"");
     std::thread::sleep(Duration::from_millis(3200));
-    send("-CONT");
+    program.signal("-CONT");
     let mut heard = Vec::new();
     let answers = |bytes: &[u8]| bytes.windows(2).filter(|w| *w == [0x94, 1]).count();
     edge.0.set_read_timeout(Some(Duration::from_millis(600))).unwrap();
@@ -528,3 +539,93 @@
     assert_eq!((answered(1), answered(2), answered(4)), (0, 0, 1));
     assert!(answered(3) <= 1);
 }
+
+#[test]
+fn a_new_configuration_moves_every_link_and_one_without_sense_moves_none() {
+    let mut program = Program::start(|_| ok("old"));
+    let mut pool = program.serving();
+    let mut edge = program.connect();
+    (1..=2).for_each(|n| edge.ask(n, "buy", &rid(n), Some(&rid(n)), b""));
+    (1..=2).for_each(|n| assert_eq!(pool.next().0[1], rid(n)));
+    // Neither a file that is cut short nor the same addresses again changes anything.
+    std::fs::write(&program.config, "{\"name\":").unwrap();
+    program.signal("-HUP");
+    std::thread::sleep(Duration::from_millis(100));
+    program.reload(&[]);
+    pool.finish(1, &rid(1), b"one");
+    edge.hears(&[b"one"]);
+    // The new places; each is listened on from here alone.
+    let ip = program.edge.ip().to_string();
+    let (new_pool, pool_addr) = listen(&ip);
+    let ((say_call, calls), (say_report, reports)) = (channel(), channel());
+    let ((index, index_addr), (members, members_addr)) = (listen(&ip), listen(&ip));
+    http(index, say_call, |_| ok("new"));
+    http(members, say_report, listed);
+    program.reload(&[("pool", pool_addr), ("index", index_addr), ("members", members_addr)]);
+    let mut moved = PoolEnd::accept(&new_pool);
+    assert_eq!(moved.next().0, ["bind", "1"]);
+    // What comes before the new link is bound is said on it, and a result said on the old one counts once.
+    pool.finish(2, &rid(2), b"two");
+    edge.ask(3, "buy", &rid(3), Some("t"), b"");
+    std::thread::sleep(Duration::from_millis(50));
+    moved.say("bound warm 99000\r\n");
+    moved.finish(2, &rid(2), b"two");
+    assert_eq!(moved.next().0[..2], ["spawn".to_string(), rid(3)]);
+    moved.say(&format!("blocked 3 {} 1\r\n?\r\n", rid(3)));
+    assert_eq!(moved.next(), (vec!["supply".into(), rid(3), "3".into()], b"new".to_vec()));
+    assert!(calls.try_recv().is_ok() && program.calls.try_recv().is_err());
+    moved.finish(4, &rid(3), b"three");
+    let heard = edge.hears(&[b"two", b"three"]);
+    assert_eq!(heard.windows(3).filter(|w| *w == b"two").count(), 1);
+    assert!(reports.recv_timeout(LONG).unwrap().ends_with("{\"phase\":\"UP\"}"));
+    while program.reports.try_recv().is_ok() {}
+    // Once more while it is leaving: the word goes to the newest place.
+    program.term();
+    assert!(reports.iter().any(|r| r.ends_with("{\"phase\":\"OUT\"}")));
+    program.reload(&[]);
+    let _back = PoolEnd::accept(&program.pool);
+    assert!(program.reports.recv_timeout(LONG).unwrap().ends_with("{\"phase\":\"OUT\"}"));
+    drop(edge);
+    assert!(program.ended().success());
+}
+
+#[test]
+fn a_token_with_another_body_is_no_repeat_and_is_not_settled_from_the_first() {
+    let mut program = Program::start(|_| None);
+    let mut pool = program.serving();
+    let (mut good, mut bad) = (program.connect(), program.connect());
+    // The made-up call comes first; the true one runs, and a true repeat is answered from it.
+    bad.ask(1, "buy", &rid(1), Some("t"), b"false");
+    assert_eq!(pool.next().0[1], rid(1));
+    good.ask(1, "buy", &rid(2), Some("t"), b"true");
+    assert_eq!(pool.next().0[1], rid(2));
+    pool.say(&format!("unknown spawn {}\r\n", rid(1)));
+    bad.hears(&[&[0x94, 1, 1, 0x92], b"Internal"]);
+    pool.finish(1, &rid(2), b"made");
+    good.hears(&[b"made"]);
+    bad.ask(2, "buy", &rid(3), Some("t"), b"false");
+    assert_eq!(pool.next().0[1], rid(3));
+    good.ask(2, "buy", &rid(4), Some("t"), b"true");
+    good.hears(&[&[0x94, 1, 2, 0xc0], b"made"]);
+}
+
+#[test]
+fn a_report_without_an_answer_holds_up_neither_the_next_nor_a_change_of_word() {
+    let mut program = Program::begin(None::<fn(&str) -> Option<String>>);
+    let silent = TcpListener::bind(program.away.pop().unwrap().0).unwrap();
+    let mut pool = PoolEnd::accept(&program.pool);
+    pool.bound("0", "3.5");
+    let began = Instant::now();
+    let mut reports = Vec::new();
+    for word in ["UP", "UP", "OUT"] {
+        if word == "OUT" {
+            program.term();
+        }
+        let (mut stream, _) = silent.accept().unwrap();
+        let mut text = [0; 1024];
+        let n = stream.read(&mut text).unwrap();
+        assert!(String::from_utf8_lossy(&text[..n]).ends_with(&format!("{{\"phase\":\"{word}\"}}")));
+        reports.push(stream);
+    }
+    assert!(began.elapsed() < Duration::from_millis(1900));
+}
--- a/crates/aldercrank-server/tests/suite/tables.rs
+++ b/crates/aldercrank-server/tests/suite/tables.rs
@@ -41,7 +41,7 @@
 #[test]
 fn a_key_links_repeats_by_arrival_and_its_window_outlives_results_that_make_room() {
     let mut keys = Keys::new(10);
-    let (mark, other) = (Mark::Token("t".into()), Mark::Token("u".into()));
+    let (mark, other) = (Mark::token("p", "t", b"x"), Mark::token("p", "u", b"x"));
     let (a, b, c) = (TxnId(1), TxnId(2), TxnId(3));
     let (key, _) = keys.keep(&mark, a, S * 10).unwrap();
     assert_eq!(keys.repeated(&mark, S * 11, S * 11), None, "came after the window");
@@ -62,7 +62,7 @@
     assert_eq!((keys.ends(key, S), keys.lapse(key)), (Some(S * 31), vec![b, b]));
     assert_eq!(keys.repeated(&mark, S, S), None);
     // A read whose run came to nothing is no source for others.
-    let subject = Mark::Subject("p".into(), "s".into());
+    let subject = Mark::subject("p", "s");
     keys.keep(&subject, a, S * 9).unwrap();
     keys.started(&subject, a);
     keys.ended(&subject, a, None);
