One rule for what no edge node says: an error and a close at once; idle ones make room

Checked in the logs: 'no room for another connection' from the first seconds; health was bad although each reading round was short, so the unread time came from t0 as sent and from waiting to be accepted. Lines at fault: conns.rs State::Doomed (waits for what is owed), edge.rs accept (stops at the bound), the lay taken from t0 alone, and no limit for silence.

Changed: misuse of any kind voids what is open on its connection and closes it; a connection that says nothing whole for 1.5 s is misused; at the bound the idlest one makes room, silent ones first, after a last look; how long a txn lay unread is at most what our own reading allows; mem and prio have the bounds that the protocol names; an interrupt gets one answer.

The price: an edge node that broke the protocol would lose all that is open on that connection.

--- a/crates/aldercrank-server/src/core.rs
+++ b/crates/aldercrank-server/src/core.rs
@@ -65,6 +65,8 @@
     pub rid: Rid,
     pub mark: Option<Mark>,
     pub arrival: Arrival,
+    /// The longest that it can have lain unread, as we know ourselves.
+    pub unread: Duration,
     pub body: &'a [u8],
 }
 
@@ -453,9 +455,10 @@
             log::warn!("txn {} carries no token", ask.rid);
             return hands.ports.void(seat);
         }
-        // One that lay longer than anybody waits tells of a clock, not of our reading.
-        let lay = ask.arrival.lay.min(hands.patience);
-        let arrived = now.saturating_sub(lay);
+        // One that lay longer than anybody waits is gone, or tells of a clock, and not of our reading. A word
+        // of less is believed for the windows; that txns lie unread is for our own reading to say.
+        let arrived = now.saturating_sub(ask.arrival.lay.min(hands.patience));
+        let lay = ask.arrival.lay.min(ask.unread).min(hands.patience);
         if ask.mark.is_some() && hands.keys.full() {
             log::error!("no room left for keys");
             return hands.ports.decline(seat, None, false);
--- a/crates/aldercrank-server/src/net/conns.rs
+++ b/crates/aldercrank-server/src/net/conns.rs
@@ -1,4 +1,5 @@
-//! The table of connections from edge nodes: which are idle, and how each comes to its end.
+//! The table of connections from edge nodes: which are idle, which owe a whole message, and how each ends.
+//! It owns their number: at the bound, room is made among those that have nothing open.
 
 use super::link::{Link, Loop};
 use super::Due;
@@ -11,16 +12,15 @@
 
 /// How long the other side has to close what was told to close.
 const PARTING: Duration = Duration::from_secs(1);
+/// How long a connection may go without a whole message, after its start or after a message's first byte. An
+/// edge node opens one when it has something to say, and messages are small.
+const WHOLE: Duration = Duration::from_millis(1500);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum State {
     Open,
     /// Told that nothing new is to come on it.
     Closing,
-    /// Cannot be read any more; closes once all that is owed is settled.
-    Doomed,
-    /// All is said; the other side has to close.
-    Parting,
 }
 
 pub struct Conn {
@@ -31,18 +31,17 @@
     pub(super) queued: bool,
     /// When its last call was answered.
     quiet: Duration,
+    /// Whether it has ever said a whole message; and until when it owes one.
+    spoken: bool,
+    pub(super) owes: Option<Duration>,
+    /// When it was last known that nothing of it lay unread.
+    pub(super) dry: Duration,
 }
 
 impl Conn {
-    pub(super) fn new(link: Link, now: Duration) -> Conn {
-        Conn { link, calls: BTreeSet::new(), state: State::Open, queued: false, quiet: now }
-    }
-
-    /// It alone closes, once all that is owed on it is settled.
-    pub(super) fn doom(&mut self, why: &str) {
-        log::warn!("a connection closes: {why}");
-        self.state = State::Doomed;
-        self.link.input = Vec::new();
+    pub(super) fn new(link: Link, now: Duration, dry: Duration) -> Conn {
+        let (calls, state, owes) = (BTreeSet::new(), State::Open, Some(now + WHOLE));
+        Conn { link, calls, state, queued: false, quiet: now, spoken: false, owes, dry }
     }
 }
 
@@ -63,6 +62,28 @@
         self.conns.insert(conn).map(|slot| ConnId(slot.0))
     }
 
+    /// After a read: whether whole messages came, and whether a part of one is left.
+    pub(super) fn heard(&mut self, conn: ConnId, now: Duration, whole: bool, deadlines: &mut Deadlines<Due>) {
+        let Some(c) = self.get(conn) else { return };
+        c.spoken |= whole;
+        let owes = match c.link.input.is_empty() {
+            true if c.spoken => None,
+            false if whole || c.owes.is_none() => Some(now + WHOLE),
+            _ => c.owes,
+        };
+        c.owes = owes;
+        match owes {
+            Some(until) => deadlines.set(Due::Whole(conn), until),
+            None => deadlines.clear(Due::Whole(conn)),
+        }
+    }
+
+    /// The one that has had nothing open for longest, those first that have never said anything whole.
+    pub(super) fn idlest(&self) -> Option<ConnId> {
+        let idle = self.conns.iter().filter(|(_, c)| c.calls.is_empty());
+        idle.min_by_key(|(_, c)| (c.spoken, c.quiet)).map(|(slot, _)| ConnId(slot.0))
+    }
+
     pub fn is_empty(&self) -> bool {
         self.conns.is_empty()
     }
@@ -84,7 +105,7 @@
         }
     }
 
-    /// After an answer: what is idle now closes when its time comes, what was doomed parts.
+    /// After an answer: what is idle now closes when its time comes.
     pub fn rest(&mut self, conn: ConnId, now: Duration, deadlines: &mut Deadlines<Due>) {
         let idle = self.idle;
         let Some(c) = self.get(conn).filter(|c| c.calls.is_empty()) else { return };
@@ -96,12 +117,6 @@
                 }
             }
             State::Closing => deadlines.set(Due::Idle(conn), now + PARTING),
-            State::Doomed if c.link.waiting() == 0 => {
-                c.state = State::Parting;
-                c.link.hush();
-                deadlines.set(Due::Idle(conn), now + PARTING);
-            }
-            _ => {}
         }
     }
 
@@ -132,6 +147,7 @@
 
     pub(super) fn drop(&mut self, conn: ConnId, on_loop: &Loop, deadlines: &mut Deadlines<Due>) {
         deadlines.clear(Due::Idle(conn));
+        deadlines.clear(Due::Whole(conn));
         if let Some(c) = self.conns.remove(Slot(conn.0)) {
             c.link.close(on_loop);
         }
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -2,7 +2,7 @@
 
 use super::conns::{Conn, State};
 use super::link::{keep_rest, Fill, Link};
-use super::Server;
+use super::{Due, Server};
 use crate::clock::Clock;
 use crate::core::{Ask, CallNo, ConnId, Seat};
 use crate::keys::Mark;
@@ -14,9 +14,15 @@
 
 /// Calls that may be open on a connection.
 const OPEN: usize = 32;
+/// Less than this is booked for a txn, in KB.
+const MEM: f64 = 2000.0;
 /// A connection with more than this unsent is not read until its reader has caught up; with the answers to
 /// what is open by then it still stays small beside the memory.
 const UNSENT: usize = 16 * 1024;
+/// How often a connection that is not read is looked at.
+const STUCK: Duration = Duration::from_secs(1);
+/// Connections that are looked at to make room for another.
+const LOOKS: usize = 8;
 /// What the system may hold for it besides.
 const SENDING: usize = 32 * 1024;
 
@@ -24,11 +30,14 @@
 struct Hear<'a> {
     server: &'a mut Server,
     conn: ConnId,
+    /// It has said what no edge node says.
+    misused: Option<&'static str>,
 }
 
 impl Edge for Hear<'_> {
     fn asked(&mut self, call: CallNo, method: &str, fields: &Fields, body: &[u8]) {
-        if !self.server.open_call(self.conn, call) {
+        if let Err(why) = self.server.open_call(self.conn, call) {
+            self.misused = Some(why);
             return;
         }
         let seat = Seat { conn: self.conn, call };
@@ -40,6 +49,9 @@
             let lay = unix.saturating_sub(t0);
             // And not longer than told.
             let left = t0.checked_add(budget)?.saturating_sub(unix).min(budget);
+            // Its word on that is believed as far as our own reading allows: what came before the connection
+            // was last found dry has been read then.
+            let unread = now.saturating_sub(self.server.net().edge.get(self.conn)?.dry);
             let mark = match (fields.token, fields.obj) {
                 (Some(token), _) => Some(Mark::token(method, token, body)),
                 (None, Some(obj)) => Some(Mark::subject(method, obj)),
@@ -49,20 +61,17 @@
                 product: method.to_string(),
                 subject: fields.obj.map(str::to_string),
                 expiry: Some(now.checked_add(left)?),
-                memory_kb: fields.mem?,
-                rank: fields.prio?,
+                memory_kb: fields.mem.filter(|kb| *kb > 0.0 && *kb < MEM)?,
+                rank: fields.prio.filter(|rank| *rank < 1.0)?,
                 caller: CallerId(fields.peer?),
                 lay,
                 ..Arrival::default()
             };
-            Some((now, Ask { rid: Rid::new(fields.rid?)?, mark, arrival, body }))
+            Some((now, Ask { rid: Rid::new(fields.rid?)?, mark, arrival, unread, body }))
         })();
         match ask {
             Some((now, ask)) => self.server.asked(now, seat, ask),
-            None => {
-                log::warn!("a call of {method:?} with fields that are missing or make no sense");
-                self.server.refuse(seat, false);
-            }
+            None => self.misused = Some("a call with fields that are missing or make no sense"),
         }
     }
 
@@ -76,36 +85,39 @@
     }
 
     fn interrupted(&mut self, call: CallNo) {
+        // Nothing is owed, but one answer does no harm, and nobody is left without a word.
         let seat = Seat { conn: self.conn, call };
-        let open = self.server.net().edge.get(self.conn).is_some_and(|c| c.calls.remove(&call));
-        if open {
+        if self.server.net().edge.get(self.conn).is_some_and(|c| c.calls.contains(&call)) {
+            self.server.refuse(seat, false);
             self.server.caller_gone(seat);
         }
     }
 
     fn senseless(&mut self, call: CallNo, why: &'static str) {
-        log::warn!("{why}");
-        if self.server.open_call(self.conn, call) {
-            self.server.refuse(Seat { conn: self.conn, call }, false);
-        }
+        self.server.open_call(self.conn, call).unwrap_or_default();
+        self.misused = Some(why);
     }
 
     fn ignored(&mut self, why: &'static str) {
-        log::warn!("{why}");
+        self.misused = Some(why);
     }
 }
 
 impl Server {
     /// Takes the connections that wait. False when there is no room for more: the rest stays where it is.
     pub fn accept(&mut self, listener: &TcpListener) -> bool {
+        let (began, dry) = (self.now(), self.none_waited);
         loop {
-            if self.net().edge.full() {
+            if self.net().edge.full() && !self.make_room() {
                 log::warn!("no room for another connection");
                 return false;
             }
             match listener.accept() {
-                Ok((stream, _)) => self.take(stream),
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return true,
+                Ok((stream, _)) => self.take(stream, dry),
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
+                    self.none_waited = began;
+                    return true;
+                }
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(e) => {
@@ -116,7 +128,22 @@
         }
     }
 
-    fn take(&mut self, stream: TcpStream) {
+    /// Hundreds that say nothing, or have said all, must not keep the others out: the idlest one makes room,
+    /// after a last look at what may have come. A call that crosses the close is sent once more.
+    fn make_room(&mut self) -> bool {
+        for _ in 0..LOOKS {
+            let Some(conn) = self.net().edge.idlest() else { return false };
+            self.edge_readable(conn);
+            let idle = self.net().edge.get(conn).is_none_or(|c| c.calls.is_empty());
+            if idle {
+                self.edge_lost(conn);
+                return true;
+            }
+        }
+        false
+    }
+
+    fn take(&mut self, stream: TcpStream, dry: Duration) {
         let now = self.now();
         let mut net = self.net();
         // The number comes first, since the loop must know whom to call.
@@ -133,12 +160,14 @@
             server.edge_ready(number.get());
         });
         let conn = match link {
-            Ok(link) => Conn::new(link, now),
+            Ok(link) => Conn::new(link, now, dry),
             Err(e) => return log::error!("cannot take a connection: {e}"),
         };
         if let Some(conn) = net.edge.insert(conn) {
             cell.set(conn);
             net.rest(conn);
+            let net = &mut *net;
+            net.edge.heard(conn, now, false, &mut net.deadlines);
         }
     }
 
@@ -146,9 +175,6 @@
         let mut net = self.net();
         if let Some(c) = net.edge.get(conn) {
             c.link.flush();
-            if c.state == State::Doomed {
-                net.rest(conn);
-            }
         }
     }
 
@@ -175,7 +201,12 @@
                 self.edge_heard(conn);
                 self.edge_turn(conn);
             }
-            Fill::Dry => {}
+            Fill::Dry => {
+                let now = self.now();
+                if let Some(c) = self.net().edge.get(conn) {
+                    c.dry = now;
+                }
+            }
             Fill::End => self.edge_lost(conn),
         }
     }
@@ -209,44 +240,68 @@
             None => return,
         };
         let mut taken = 0;
-        let broken = loop {
-            let state = self.net().edge.get(conn).map(|c| c.state);
-            if !matches!(state, Some(State::Open | State::Closing)) {
-                // What comes after the break is not read.
-                taken = input.len();
-                break None;
-            }
-            match msgpack::read(&input[taken..], &mut Hear { server: self, conn }) {
+        loop {
+            let mut hear = Hear { server: self, conn, misused: None };
+            match msgpack::read(&input[taken..], &mut hear) {
                 Ok(Some(n)) => taken += n,
-                Ok(None) => break None,
-                Err(broken) => break Some(broken.0),
+                Ok(None) => break,
+                Err(broken) => hear.misused = Some(broken.0),
             }
-        };
+            if let Some(why) = hear.misused {
+                return self.edge_misused(conn, why);
+            }
+        }
+        let now = self.now();
         let mut net = self.net();
+        let net = &mut *net;
         let Some(c) = net.edge.get(conn) else { return };
         c.link.input = keep_rest(input, taken);
-        if let Some(why) = broken {
-            c.doom(why);
-            net.rest(conn);
+        net.edge.heard(conn, now, taken > 0, &mut net.deadlines);
+    }
+
+    /// The one rule for what no edge node says, of whatever kind: nothing of it is run, what is open on the
+    /// connection gets an error at once, and it closes. Nothing behind it is read.
+    fn edge_misused(&mut self, conn: ConnId, why: &str) {
+        log::warn!("a connection closes: {why}");
+        {
+            let mut net = self.net();
+            let hint = net.edge.hint;
+            if let Some(c) = net.edge.get(conn) {
+                let calls = std::mem::take(&mut c.calls);
+                c.link.say(|out| calls.into_iter().for_each(|call| msgpack::voided(out, call, hint)));
+            }
         }
+        self.edge_lost(conn);
     }
 
-    /// Notes a call as open. One that has an id which is open already gets an error, and is not run.
-    fn open_call(&mut self, conn: ConnId, call: CallNo) -> bool {
+    /// A connection has owed a whole message for too long.
+    pub fn edge_mute(&mut self, conn: ConnId) {
+        // Not without a last look; and not while it is we who do not read.
+        self.edge_readable(conn);
+        let now = self.now();
+        let (mute, stuck) = match self.net().edge.get(conn) {
+            Some(c) => (c.owes.is_some_and(|until| until <= now), c.link.waiting() > UNSENT),
+            None => return,
+        };
+        if stuck {
+            let mut net = self.net();
+            net.deadlines.set(Due::Whole(conn), now + STUCK);
+        } else if mute {
+            self.edge_misused(conn, "no whole message in its time");
+        }
+    }
+
+    /// Notes a call as open.
+    fn open_call(&mut self, conn: ConnId, call: CallNo) -> Result<(), &'static str> {
         let mut net = self.net();
-        let hint = net.edge.hint;
-        let Some(c) = net.edge.get(conn) else { return false };
+        let c = net.edge.get(conn).ok_or("no connection")?;
         if c.calls.len() >= OPEN {
-            c.doom("too many calls open");
-            net.rest(conn);
-            return false;
+            return Err("too many calls open");
         }
-        let fresh = c.calls.insert(call);
-        if !fresh {
-            log::warn!("call {call:?} is open already");
-            c.link.say(|out| msgpack::voided(out, call, hint));
+        if !c.calls.insert(call) {
+            return Err("a call's id is open already");
         }
-        fresh
+        Ok(())
     }
 
     /// Answers without the module: for what makes no sense, or came when nothing can run.
@@ -295,7 +350,7 @@
                     net.edge.part(conn, now, &mut net.deadlines);
                     false
                 }
-                Some((State::Closing | State::Parting, true)) => true,
+                Some((State::Closing, true)) => true,
                 _ => false,
             }
         };
--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -44,6 +44,8 @@
 pub enum Due {
     Core(Reminder),
     Idle(ConnId),
+    /// A connection owes a whole message.
+    Whole(ConnId),
     Call(TxnId),
     PoolDial,
     Listen,
@@ -156,6 +158,8 @@
     /// When this round's reading began.
     round: Option<Duration>,
     listener: Option<Rc<TcpListener>>,
+    /// When it was last known that no connection waited to be taken.
+    none_waited: Duration,
     listening: Option<RegistrationToken>,
 }
 
@@ -200,6 +204,7 @@
                 }
             }
             Due::Idle(conn) => self.edge_idle(conn),
+            Due::Whole(conn) => self.edge_mute(conn),
             Due::Call(txn) => self.call_due(txn),
             Due::PoolDial => self.pool_dial(),
             Due::Listen => self.listen_again(),
@@ -342,6 +347,7 @@
         slice: slack.mul_f64(SLICE_SHARE),
         round: None,
         listener: Some(listener),
+        none_waited: Duration::ZERO,
         listening: Some(listening),
     };
     log::info!("listening on {}", server.config.listen);
