--- a/crates/aldercrank-server/src/net/index.rs
+++ b/crates/aldercrank-server/src/net/index.rs
@@ -95,7 +95,10 @@
             Fill::Dry => return Heard::Dry,
             // Nor was anything where it ended before the first byte could be written.
             Fill::End if !c.link.began() => return Heard::Ended(Outcome::Unreachable, Vec::new()),
-            Fill::End => return Heard::Ended(Outcome::Severed, Vec::new()),
+            Fill::End => {
+                log::info!("the index broke a call off");
+                return Heard::Ended(Outcome::Severed, Vec::new());
+            }
             Fill::More => {}
         }
         match c.reader.read(&c.link.input) {
@@ -146,6 +149,9 @@
             net.hang_up(txn);
             (net.clock.now(), made)
         };
+        if made {
+            log::info!("the index did not answer a call in its time");
+        }
         let how = if made { Outcome::Overdue } else { Outcome::Unreachable };
         if let Some(core) = &mut self.core {
             core.call_ended(now, txn, how, &[]);
