--- a/crates/aldercrank-server/src/core.rs
+++ b/crates/aldercrank-server/src/core.rs
@@ -454,8 +454,8 @@
         }
         // One that lay longer than anybody waits is gone, or tells of a clock, and not of our reading. A word
         // of less is believed for the windows; that txns lie unread is for our own reading to say.
-        let arrived = now.saturating_sub(ask.arrival.lay.min(hands.patience));
-        let lay = ask.arrival.lay.min(ask.unread).min(hands.patience);
+        let told = ask.arrival.lay.min(hands.patience);
+        let (arrived, lay) = (now.saturating_sub(told), told.min(ask.unread));
         if ask.mark.is_some() && hands.keys.full() {
             log::error!("no room left for keys");
             return hands.ports.decline(seat, None, false);
--- a/crates/aldercrank-server/src/http.rs
+++ b/crates/aldercrank-server/src/http.rs
@@ -44,7 +44,6 @@
 }
 
 /// A head's length and what it says; without the latter it is a word in between, and the answer follows.
-#[allow(clippy::type_complexity)]
 fn head(buf: &[u8]) -> Result<Option<(usize, Option<Reply>)>, &'static str> {
     let mut headers = [httparse::EMPTY_HEADER; 64];
     let mut answer = httparse::Response::new(&mut headers);
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -94,7 +94,8 @@
     }
 
     fn senseless(&mut self, call: CallNo, why: &'static str) {
-        self.server.open_call(self.conn, call).unwrap_or_default();
+        // Open, so that it gets its error with all the others.
+        let _ = self.server.open_call(self.conn, call);
         self.misused = Some(why);
     }
 
@@ -263,14 +264,8 @@
     /// connection gets an error at once, and it closes. Nothing behind it is read.
     fn edge_misused(&mut self, conn: ConnId, why: &str) {
         log::warn!("a connection closes: {why}");
-        {
-            let mut net = self.net();
-            let hint = net.edge.hint;
-            if let Some(c) = net.edge.get(conn) {
-                let calls = std::mem::take(&mut c.calls);
-                c.link.say(|out| calls.into_iter().for_each(|call| msgpack::voided(out, call, hint)));
-            }
-        }
+        let open = self.net().edge.get(conn).map(|c| c.calls.clone()).unwrap_or_default();
+        open.into_iter().for_each(|call| self.refuse(Seat { conn, call }, false));
         self.edge_lost(conn);
     }
 
--- a/crates/aldercrank-server/src/net/members.rs
+++ b/crates/aldercrank-server/src/net/members.rs
@@ -2,13 +2,10 @@
 //! Each has a connection of its own: one that stays without an answer, which counts all the same, holds up
 //! neither the next nor a change of word.
 
-use super::link::{Fill, Link};
+use super::exchange::{Exchange, Failure};
 use super::{Due, Server};
-use crate::http;
 use crate::members::{self, EVERY, LAPSE};
 use crate::slots::{Slot, Slots};
-use std::cell::Cell;
-use std::rc::Rc;
 use std::time::Duration;
 
 /// Between tries while the service can't be reached.
@@ -20,8 +17,7 @@
 struct ReportId(Slot);
 
 struct Report {
-    link: Link,
-    reader: http::Reader,
+    exchange: Exchange,
     fit: bool,
     since: Duration,
 }
@@ -51,24 +47,13 @@
             }
         }
         net.deadlines.set(Due::Report, now + EVERY);
-        let cell = Rc::new(Cell::new(None));
-        let number = cell.clone();
-        let dialled = Link::dial(&net.on_loop, net.members_addr, move |_, server: &mut Server| {
-            if let Some(id) = number.get() {
-                server.report_ready(id);
-            }
-        });
-        match dialled {
-            Ok(mut link) => {
-                let report = members::report(&net.members_addr.to_string(), &net.name, fit);
-                link.say(|out| out.extend(report));
-                let report = Report { link, reader: http::Reader::default(), fit, since: now };
-                cell.set(net.reports.out.insert(report).map(ReportId));
-            }
-            Err(e) => {
-                log::warn!("the membership service can't be reached: {e}");
-                net.deadlines.set(Due::Report, now + RETRY);
-            }
+        let report = members::report(&net.members_addr.to_string(), &net.name, fit);
+        let out = &mut net.reports.out;
+        let keep = |exchange| out.insert(Report { exchange, fit, since: now }).map(ReportId);
+        let begun = Exchange::begin(&net.on_loop, net.members_addr, report, Server::report_ready, keep);
+        if let Err(e) = begun {
+            log::warn!("the membership service can't be reached: {e}");
+            net.deadlines.set(Due::Report, now + RETRY);
         }
     }
 
@@ -76,32 +61,22 @@
         let mut net = self.net();
         let net = &mut *net;
         let Some(report) = net.reports.out.get_mut(id.0) else { return };
-        let stands = report.link.connected();
-        report.link.flush();
-        let reply = loop {
-            if stands.is_err() {
-                break Err("no connection");
-            }
-            match report.link.fill() {
-                Fill::Dry => return,
-                Fill::End => break Err("a close"),
-                Fill::More => match report.reader.read(&report.link.input) {
-                    Ok(None) => {}
-                    Ok(Some(reply)) => break Ok(reply.status),
-                    Err(why) => break Err(why),
-                },
-            }
-        };
+        let Some(reply) = report.exchange.hear() else { return };
         let word = report.fit;
         net.end_report(id.0);
-        match reply {
+        match reply.map(|r| r.status) {
             Ok(204) => {
                 if net.reports.taken.replace(word) != Some(word) {
                     log::info!("listed as {}", if word { "UP" } else { "OUT" });
                 }
             }
             Ok(status) => log::warn!("the membership service answered {status}"),
-            Err(why) => {
+            Err(failure) => {
+                let why = match failure {
+                    Failure::NeverAsked => "no connection",
+                    Failure::Closed => "a close",
+                    Failure::Unreadable(why) => why,
+                };
                 log::warn!("a report to the membership service ended with {why}");
                 let at = net.clock.now() + RETRY;
                 net.deadlines.set(Due::Report, at);
@@ -120,7 +95,7 @@
 impl super::Net {
     fn end_report(&mut self, slot: Slot) {
         if let Some(report) = self.reports.out.remove(slot) {
-            report.link.close(&self.on_loop);
+            report.exchange.close(&self.on_loop);
         }
     }
 
--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 mod conns;
 mod edge;
+mod exchange;
 mod index;
 mod link;
 mod members;
