Module: running sums and ordered structures in place of passes over all in hand

Log lines are only made where they are said; arrivals borrow their texts. The hold and the calls have tests beside plain models that pass over all.

--- a/crates/aldercrank-drill/src/lib.rs
+++ b/crates/aldercrank-drill/src/lib.rs
@@ -148,8 +148,8 @@
     }
 }
 
-fn arrival(item: &Json, expiry: Option<Duration>) -> Arrival {
-    let text = |field: &str| item.get(field).and_then(Json::as_str).map(str::to_string);
+fn arrival(item: &Json, expiry: Option<Duration>) -> Arrival<'_> {
+    let text = |field: &str| item.get(field).and_then(Json::as_str);
     let num = |field: &str| item.get(field).and_then(Json::as_f64).unwrap_or_default();
     let int = |field: &str| item.get(field).and_then(Json::as_u64).unwrap_or_default();
     let bits = int("bitmap");
--- a/crates/aldercrank-server/src/core.rs
+++ b/crates/aldercrank-server/src/core.rs
@@ -64,7 +64,7 @@
 pub struct Ask<'a> {
     pub rid: Rid,
     pub mark: Option<Mark>,
-    pub arrival: Arrival,
+    pub arrival: Arrival<'a>,
     /// The longest that it can have lain unread, as we know ourselves.
     pub unread: Duration,
     pub body: &'a [u8],
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -58,8 +58,8 @@
                 (None, None) => None,
             };
             let arrival = Arrival {
-                product: method.to_string(),
-                subject: fields.obj.map(str::to_string),
+                product: method,
+                subject: fields.obj,
                 expiry: Some(now.checked_add(left)?),
                 memory_kb: fields.mem.filter(|kb| *kb > 0.0 && *kb < MEM)?,
                 rank: fields.prio.filter(|rank| *rank < 1.0)?,
--- a/crates/aldercrank-server/tests/suite/core.rs
+++ b/crates/aldercrank-server/tests/suite/core.rs
@@ -249,7 +249,7 @@
         let body = vec![call as u8; 3];
         let seen = Seen { rid, token, arrived, expiry, body: body.clone(), answers: 0, gone: false };
         self.world.0.borrow_mut().seen.insert(seat, seen);
-        let product = if token.is_some() { "p1" } else { "p0" }.to_string();
+        let product = if token.is_some() { "p1" } else { "p0" };
         let arrival = Arrival {
             product,
             expiry: Some(expiry),
@@ -545,7 +545,7 @@
         let seen = play.world.0.borrow().seen[&good].clone();
         let odd = Seen { rid: Rid::new(&format!("{call:016}")).unwrap(), answers: 0, ..seen };
         play.world.0.borrow_mut().seen.insert(seat, odd);
-        let arrival = Arrival { product: product.into(), expiry: Some(MS * 2000), ..Arrival::default() };
+        let arrival = Arrival { product, expiry: Some(MS * 2000), ..Arrival::default() };
         play.core.txn_read(play.now(), seat, Ask { rid, mark, arrival, unread: Duration::MAX, body: &[] });
         play.flow();
         assert_eq!((play.answers(seat), play.world.0.borrow().runs.len()), (1, 1), "{product}");
@@ -636,7 +636,7 @@
     let seen = Seen { rid, token: None, arrived, expiry, body: vec![], answers: 0, gone: false };
     play.world.0.borrow_mut().seen.insert(seat, seen);
     let lay = Duration::from_secs(1_700_000_000);
-    let arrival = Arrival { product: "p0".into(), expiry: Some(play.now()), lay, ..Arrival::default() };
+    let arrival = Arrival { product: "p0", expiry: Some(play.now()), lay, ..Arrival::default() };
     play.core.txn_read(play.now(), seat, Ask { rid, mark: None, arrival, unread: Duration::MAX, body: &[] });
     assert_eq!(play.answers(seat), 1);
     for _ in 0..10 {
@@ -659,7 +659,7 @@
             let seen =
                 Seen { rid, token: None, arrived: now - lay, expiry, body: vec![], answers: 0, gone: false };
             play.world.0.borrow_mut().seen.insert(seat, seen);
-            let arrival = Arrival { product: "p0".into(), expiry: Some(expiry), lay, ..Arrival::default() };
+            let arrival = Arrival { product: "p0", expiry: Some(expiry), lay, ..Arrival::default() };
             play.core.txn_read(now, seat, Ask { rid, mark: None, arrival, unread, body: &[] });
             play.flow();
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,10 +5,15 @@
 //! The ordinary path is that of "AIMD Queue Server" (docs/design.md): a window of running txns, grown by
 //! ALPHA on demand while the p99 of run time over SLA time has headroom, cut by BETA or the breaker.
 
+use crate::calls::Calls;
+use crate::hold::Hold;
 use crate::host::Host;
+use crate::ledger::{Ledger, Stage};
 use crate::settings::Settings;
-use crate::types::{Arrival, CallerId, Effect, Outcome, Product, TxnId};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use crate::terms::{self, Advert, Terms};
+use crate::tree::Tree;
+use crate::types::{Arrival, CallerId, Effect, IdMap, Outcome, Product, TxnId};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 // The mechanism. Spans are ratios to the SLA times that the settings give.
@@ -49,17 +54,6 @@
 const USUAL: f64 = 0.15; // of those heard
 const QUIET_LOG: Duration = Duration::from_secs(5);
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Stage {
-    #[default]
-    Held,
-    Joined,
-    Running,
-    /// At a call that has not been made.
-    AtCall,
-    Calling,
-}
-
 #[derive(Clone, Debug, Default)]
 struct Txn {
     product: usize,
@@ -67,8 +61,6 @@
     due: Duration,
     expiry: Duration,
     kb: f64,
-    /// What the level is compared with.
-    worth: f64,
     stage: Stage,
     started: Duration,
     /// Time spent at calls so far, and since when it stands at one.
@@ -97,17 +89,20 @@
 
 pub struct Brain<H: Host> {
     pub host: H,
-    cfg: Settings,
+    terms: Terms,
     products: Vec<Product>,
-    cores: f64,
-    tick: Duration,
-    txns: BTreeMap<TxnId, Txn>,
-    hold: BTreeSet<(Duration, TxnId)>,
-    kept: BTreeMap<TxnId, Kept>,
+    txns: IdMap<Txn>,
+    ledger: Ledger,
+    hold: Hold,
+    /// Txns whose call is to be made, and a list of them that is used again.
+    at_call: Tree<TxnId>,
+    waiting: Vec<(i64, Duration, TxnId)>,
+    kept: IdMap<Kept>,
     live: usize,
-    dues: BTreeSet<(Duration, Due, TxnId)>,
+    dues: Tree<(Duration, Due, TxnId)>,
     window: f64,
     latencies: Vec<(Duration, usize, f64)>,
+    ratios: Vec<f64>,
     pressure: bool,
     evaluated: Duration,
     /// Seconds on the cores that a run of each product takes once warm, and its share of what is read.
@@ -127,15 +122,13 @@
     on_core: f64,
     healthy: bool,
     level: f64,
-    /// Each call of late: when it was made, and until when it may stay below.
-    calls: Vec<(TxnId, Duration, Duration)>,
-    /// The share of calls, the window of those at once (under 1: of the time), seconds of late and at best.
-    calls_share: f64,
+    calls: Calls,
+    /// The window of calls at once (under 1: of the time), seconds of late and at best.
     calls_window: f64,
     call_pace: f64,
     call_base: f64,
     calls_seen: f64,
-    quotas: BTreeMap<String, (f64, Duration)>,
+    quotas: BTreeMap<usize, (f64, Duration)>,
     /// When the notice to leave came, and when the process is stopped.
     leaving: Option<(Duration, Duration)>,
     advertised: f64,
@@ -144,45 +137,26 @@
 
 impl<H: Host> Brain<H> {
     pub fn start(cfg: Settings, now: Duration, mut host: H) -> Self {
-        let mut products = Vec::new();
-        while let Some(name) = cfg.text(&format!("profiles.{}.name", products.len())) {
-            let i = products.len();
-            let key = |field: &str| format!("profiles.{i}.{field}");
-            let expiry = cfg.span(&key("give_up")).unwrap_or(Duration::from_secs(5));
-            products.push(Product {
-                name: name.to_string(),
-                effect: Effect::named(cfg.text(&key("effect")).unwrap_or_default()),
-                sla: cfg.span(&key("goal_time")).filter(|s| !s.is_zero()).unwrap_or(expiry / 2),
-                expiry,
-                value: cfg.num(&key("points")).unwrap_or(1.0),
-                late: cfg.num(&key("late_worth")).unwrap_or(0.0),
-                window: cfg.span(&key("window")).unwrap_or(expiry * 4),
-                without: cfg.num(&format!("family_info.worth_without.{i}")).unwrap_or(0.0),
-                calls: cfg.flag(&format!("family_info.class_calls.{i}")) != Some(false),
-            });
-        }
         for name in cfg.missing() {
             host.log(&format!("setting {name} is missing or makes no sense: a cautious default holds"));
         }
-        let cores = cfg.num("family_info.cores").unwrap_or(1.0).max(1.0);
-        let slack = cfg.span("rules.answer_slack").unwrap_or(Duration::from_millis(20));
-        let tick = (slack / 2).max(cfg.span("tick").unwrap_or_default()).max(Duration::from_millis(5));
+        let (terms, products) = (Terms::read(&cfg), terms::products(&cfg));
         host.health(true, true);
-        host.wake(tick);
-        let calls_share = cfg.num("family_info.calls_out").filter(|c| *c > 0.0).unwrap_or(f64::MAX);
+        host.wake(terms.tick);
         let pace = products.iter().map(|p| p.sla.as_secs_f64() * PACE_AT_FIRST).collect();
         Brain {
             host,
-            cfg,
-            cores,
-            tick,
-            txns: BTreeMap::new(),
-            hold: BTreeSet::new(),
-            kept: BTreeMap::new(),
+            txns: IdMap::default(),
+            ledger: Ledger::new(products.len()),
+            hold: Hold::default(),
+            at_call: Tree::default(),
+            waiting: Vec::new(),
+            kept: IdMap::default(),
             live: 0,
-            dues: BTreeSet::new(),
-            window: cores,
+            dues: Tree::default(),
+            window: terms.cores,
             latencies: Vec::new(),
+            ratios: Vec::new(),
             pressure: false,
             evaluated: now,
             pace,
@@ -196,9 +170,8 @@
             on_core: 1.0,
             healthy: true,
             level: 0.0,
-            calls: Vec::new(),
-            calls_share,
-            calls_window: calls_share * CALLS_LEAST,
+            calls: Calls::default(),
+            calls_window: terms.calls_share * CALLS_LEAST,
             call_pace: 0.0,
             call_base: f64::MAX,
             calls_seen: 0.0,
@@ -206,6 +179,7 @@
             leaving: None,
             advertised: -1.0,
             logged: BTreeMap::new(),
+            terms,
             products,
         }
     }
@@ -220,7 +194,7 @@
         let arrived = now.saturating_sub(read.lay);
         self.turned *= 1.0 - PACE_GAIN;
         self.unread += PACE_GAIN * (read.lay.as_secs_f64() - self.unread);
-        let Some(product) = self.products.iter().position(|p| p.name == read.product) else {
+        let Some(product) = self.products.iter().position(|p| *p.name == *read.product) else {
             return self.host.decline(id, None, false);
         };
         let p = self.products[product].clone();
@@ -231,7 +205,7 @@
         let age = self.age(read, arrived, &p);
         let due = (arrived + p.sla.saturating_sub(age)).min(expiry);
         let worth = self.worth(now, product, read);
-        let txn = Txn { product, arrived, due, expiry, kb: read.memory_kb.max(0.0), worth, ..Txn::default() };
+        let txn = Txn { product, arrived, due, expiry, kb: read.memory_kb.max(0.0), ..Txn::default() };
         // A repeat never runs beside what it repeats: it takes the place of one still held, and is answered
         // from one that has run. An id that is not in the table is from before it, or a twin not yet read.
         let mut first = read.repeats;
@@ -241,14 +215,15 @@
         let first = first.filter(|r| self.kept.contains_key(r) || self.txns.contains_key(r));
         let takes = |t: &Txn| t.stage == Stage::Held && p.effect == Effect::Referenced;
         let held = first.and_then(|f| self.txns.get(&f)).is_some_and(takes);
+        self.ledger.enter(product, txn.stage, txn.kb);
         self.txns.insert(id, txn);
-        self.dues.insert((expiry.saturating_sub(self.tick), Due::Expiry, id));
-        if expiry <= now + self.tick {
+        self.dues.insert((expiry.saturating_sub(self.terms.tick), Due::Expiry, id), ());
+        if expiry <= now + self.terms.tick {
             return if first.is_some() { self.void(id) } else { self.turn_away(now, id) };
         }
         match first {
             Some(_) if !held => {
-                self.txns.get_mut(&id).expect("just added").stage = Stage::Joined;
+                self.put(id, Stage::Joined);
                 return self.host.join(id);
             }
             Some(f) => {
@@ -256,14 +231,15 @@
                 self.turn_away(now, f);
                 let until = now + p.window;
                 self.kept.insert(f, Kept { until, live: false, heir: Some(id) });
-                self.dues.insert((until, Due::Key, f));
+                self.dues.insert((until, Due::Key, f), ());
             }
             None => self.weigh(now),
         }
-        self.hold.insert((due, id));
+        self.hold.insert((due, id), product, worth);
         // Calls that can't be left out may take too long in all for one more txn to be in time.
         let dear = |p: &Product| p.calls && p.without <= 0.0;
-        let ahead = || self.count(|t| dear(&self.products[t.product])) as f64;
+        let those = |(i, p): (usize, &Product)| if dear(p) { self.ledger.of_product(i) } else { 0 };
+        let ahead = || self.products.iter().enumerate().map(those).sum::<usize>() as f64;
         let slack = p.sla.as_secs_f64() - self.run_time(now, product);
         let starved = dear(&p) && ahead() * self.call_pace / self.calls_window > slack;
         let under = first.is_none() && (worth < self.level || starved);
@@ -277,17 +253,16 @@
 
     /// The timer has gone off; `gauges` stand in the order of the setting `family_info.meters`.
     pub fn woken(&mut self, now: Duration, gauges: &[f64]) {
-        self.host.wake(self.tick);
+        self.host.wake(self.terms.tick);
         self.run_dues(now);
         // Idle-core growth: cores idle while work waits, so the window grows by the number held.
-        let named = |i: &usize| self.cfg.text(&format!("family_info.meters.{i}")) == Some("runnable");
-        let runnable = (0..gauges.len()).find(named).map(|i| gauges[i]);
-        let runs = self.count(|t| t.stage == Stage::Running) as f64;
+        let runnable = self.terms.runnable.and_then(|i| gauges.get(i)).copied();
+        let runs = self.ledger.running() as f64;
         let on_core = runnable.filter(|_| runs > 0.0).map_or(self.on_core, |r| (r / runs).min(1.0));
         self.on_core += PACE_GAIN * (on_core - self.on_core);
         let reading = (runnable.unwrap_or(0.0) - runs * self.on_core).max(0.0);
         self.reading += PACE_GAIN * (reading - self.reading);
-        if runnable.is_some_and(|r| r < self.cores) && !self.hold.is_empty() {
+        if runnable.is_some_and(|r| r < self.terms.cores) && !self.hold.is_empty() {
             self.window = (self.window + self.hold.len() as f64).min(self.ceiling(now));
         }
         if now.saturating_sub(self.evaluated).as_secs_f64() >= self.shortest() * EVALUATION {
@@ -300,7 +275,8 @@
         let healthy = self.unread < self.shortest();
         if self.leaving.is_none() && std::mem::replace(&mut self.healthy, healthy) != healthy {
             self.host.health(healthy, true);
-            self.log(now, "health", format!("healthy {healthy}: txns lie unread for {:.2} s", self.unread));
+            let unread = self.unread;
+            self.log(now, "health", || format!("healthy {healthy}: txns lie unread for {unread:.2} s"));
         }
         self.advertise(now);
     }
@@ -308,17 +284,18 @@
     pub fn call_needed(&mut self, now: Duration, id: TxnId) {
         self.run_dues(now);
         if let Some(txn) = self.txns.get_mut(&id).filter(|t| t.stage == Stage::Running && !t.answered) {
-            txn.stage = Stage::AtCall;
             txn.call_since = now;
+            self.put(id, Stage::AtCall);
             self.go_on(now);
         }
     }
 
     pub fn call_ended(&mut self, now: Duration, id: TxnId, how: Outcome, took: Duration) {
         self.run_dues(now);
-        let calling = |t: &&mut Txn| t.stage == Stage::Calling && !t.answered;
-        let Some(txn) = self.txns.get_mut(&id).filter(calling) else { return };
-        txn.stage = Stage::AtCall;
+        if !self.txns.get(&id).is_some_and(|t| t.stage == Stage::Calling && !t.answered) {
+            return;
+        }
+        self.put(id, Stage::AtCall);
         self.call_over(now, id, how != Outcome::Overdue);
         let txn = &self.txns[&id];
         let (effect, without) = (self.products[txn.product].effect, self.products[txn.product].without);
@@ -342,7 +319,7 @@
                 self.resume(now, id);
                 self.host.skip_call(id);
             } else if again && self.txns[&id].calls < 5 {
-                self.txns.get_mut(&id).expect("looked up above").redial = now + self.tick * 2;
+                self.txns.get_mut(&id).expect("looked up above").redial = now + self.terms.tick * 2;
             } else {
                 self.void(id);
             }
@@ -364,8 +341,9 @@
             self.latencies.push((now, txn.product, ratio));
             // The fast circuit breaker.
             if ratio > FAST_DECREASE_MULTIPLIER {
-                self.window = (self.window * BETA).max(self.cores);
-                self.log(now, "breaker", format!("a run at {ratio:.1} SLA times, window {:.1}", self.window));
+                self.window = (self.window * BETA).max(self.terms.cores);
+                let window = self.window;
+                self.log(now, "breaker", || format!("a run at {ratio:.1} SLA times, window {window:.1}"));
             }
         }
         self.run_dues(now);
@@ -383,28 +361,33 @@
         self.leaving = Some((now, stop));
         self.host.health(false, true);
         for (id, txn) in self.txns.iter_mut().filter(|(_, t)| t.expiry > stop) {
-            self.dues.remove(&(txn.expiry.saturating_sub(self.tick), Due::Expiry, *id));
+            self.dues.remove(&(txn.expiry.saturating_sub(self.terms.tick), Due::Expiry, *id));
             txn.expiry = stop;
-            self.dues.insert((stop.saturating_sub(self.tick), Due::Expiry, *id));
+            self.dues.insert((stop.saturating_sub(self.terms.tick), Due::Expiry, *id), ());
         }
-        self.log(now, "drain", format!("leaving by {stop:?} with {} txns in hand", self.txns.len()));
+        let in_hand = self.txns.len();
+        self.log(now, "drain", || format!("leaving by {stop:?} with {in_hand} txns in hand"));
         self.run_dues(now);
     }
 
     fn evaluate(&mut self, now: Duration) {
         let since = std::mem::replace(&mut self.evaluated, now);
-        let longest = self.products.iter().map(|p| p.sla).max().unwrap_or(self.tick);
+        let longest = self.products.iter().map(|p| p.sla).max().unwrap_or(self.terms.tick);
         self.latencies.retain(|(at, _, _)| *at + longest.mul_f64(SLIDING) >= now);
-        let mut ratios: Vec<f64> = self.latencies.iter().map(|(_, _, r)| *r).collect();
-        ratios.sort_by(f64::total_cmp);
-        let p99 = *ratios.get(ratios.len() * 99 / 100).unwrap_or(&0.0);
+        self.ratios.clear();
+        self.ratios.extend(self.latencies.iter().map(|(_, _, r)| *r));
+        let place = self.ratios.len() * 99 / 100;
+        let found =
+            (place < self.ratios.len()).then(|| *self.ratios.select_nth_unstable_by(place, f64::total_cmp).1);
+        let p99 = found.unwrap_or(0.0);
         if p99 > 1.0 {
             self.window *= BETA;
-            self.log(now, "cut", format!("p99 at {p99:.2} SLA times, window {:.1}", self.window));
+            let window = self.window;
+            self.log(now, "cut", || format!("p99 at {p99:.2} SLA times, window {window:.1}"));
         } else if p99 < HEADROOM && self.pressure {
             self.window += ALPHA;
         }
-        self.window = self.window.min(self.ceiling(now)).max(self.cores);
+        self.window = self.window.min(self.ceiling(now)).max(self.terms.cores);
         self.pressure = false;
         // A product that nothing has been learnt of lately is taken for quicker again, or a stall, once
         // learnt, would have it turned away for ever.
@@ -415,20 +398,19 @@
                 self.pace[i] += 2.0 * PACE_GAIN * (first - self.pace[i]);
             }
         }
-        let share = self.calls_share;
+        let share = self.terms.calls_share;
         if self.calls_slow() {
             self.calls_window = (self.calls_window * BETA).max(share * CALLS_LEAST);
-            let pace = self.call_pace;
-            self.log(now, "calls", format!("calls take {pace:.2} s, {:.2} at once", self.calls_window));
+            let (pace, at_once) = (self.call_pace, self.calls_window);
+            self.log(now, "calls", || format!("calls take {pace:.2} s, {at_once:.2} at once"));
         } else {
             self.calls_window = (self.calls_window + share * CALLS_STEP).min(share * CALLS_SHARE);
         }
         // Idle connections of callers that seldom return give way to new ones: a full table takes cores and
         // leaves others no room. In a storm of tries it is still the cheapest way to turn callers away.
-        if let Some(most) = self.cfg.span("family_info.idle") {
-            let storm = self.reading > STORM * (self.reading + self.cores);
-            let callers = self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0);
-            let least = most.mul_f64((HEARD as f64 / callers).powi(2).clamp(IDLE_LEAST, 1.0));
+        if let Some(most) = self.terms.idle {
+            let storm = self.reading > STORM * (self.reading + self.terms.cores);
+            let least = most.mul_f64((HEARD as f64 / self.terms.upstreams).powi(2).clamp(IDLE_LEAST, 1.0));
             self.idle = self.idle.mul_f64(if storm { 2.0 } else { BETA }).clamp(least, most.max(least));
             self.host.close_idle(self.idle);
         }
@@ -436,22 +418,21 @@
 
     /// The most that the window may be: the cold figure a core after a cold start, rising to the warm one.
     fn ceiling(&self, now: Duration) -> f64 {
-        let warm = self.cfg.num("window.per_core").unwrap_or(WARM_PER_CORE);
-        let cold = self.cfg.num("window.cold_per_core").unwrap_or(COLD_PER_CORE).min(warm);
-        (self.cores * (cold + (warm - cold) * self.warmth(now)) / self.on_core.max(0.4)).max(self.cores)
+        let warm = self.terms.per_core.unwrap_or(WARM_PER_CORE);
+        let cold = self.terms.cold_per_core.unwrap_or(COLD_PER_CORE).min(warm);
+        (self.terms.cores * (cold + (warm - cold) * self.warmth(now)) / self.on_core.max(0.4))
+            .max(self.terms.cores)
     }
 
     /// How far this server has warmed up at least, 0 to 1.
     fn warmth(&self, now: Duration) -> f64 {
-        let cold = self.cfg.flag("family_info.cold") == Some(true);
-        let after = cold.then(|| self.cfg.span("rules.warm_after")).flatten().filter(|a| !a.is_zero());
-        after.map_or(1.0, |after| now.div_duration_f64(after).min(1.0))
+        self.terms.warm_after.map_or(1.0, |after| now.div_duration_f64(after).min(1.0))
     }
 
     /// Starts held txns by due time while the window has room.
     fn fill(&mut self, now: Duration) {
-        while let Some(&(_, id)) = self.hold.first() {
-            let running = self.count(|t| t.stage == Stage::Running) as f64;
+        while let Some((_, id)) = self.hold.first() {
+            let running = self.ledger.running() as f64;
             if running + 1.0 > self.window || !self.start_txn(now, id) {
                 self.pressure = true;
                 return;
@@ -464,28 +445,28 @@
         let Some(txn) = self.txns.get(&id).filter(|t| t.stage == Stage::Held) else { return false };
         let unkept = self.products[txn.product].effect == Effect::Referenced
             && !self.kept.get(&id).is_some_and(|k| k.live);
-        if unkept || self.too_late(txn.arrived) || now + self.tick >= txn.expiry {
+        if unkept || self.too_late(txn.arrived) || now + self.terms.tick >= txn.expiry {
             self.turn_away(now, id);
             return true;
         }
         // Calls return to the cores on their own, so they count for the crowd.
-        let crowd = self.count(|t| !matches!(t.stage, Stage::Held | Stage::Joined)) as f64 + 1.0;
+        let crowd = self.ledger.begun() as f64 + 1.0;
         let memory = self.memory(txn.kb);
-        let multiple = self.cfg.num("rules.fall_multiple").unwrap_or(2.0).max(1.0);
-        let survives = self.cores * (1.0 + (multiple - 1.0) * self.speed(now));
-        if crowd > (CROWD_SHARE * survives).max(self.cores) || memory > MEMORY_SHARE {
+        let survives = self.terms.cores * (1.0 + (self.terms.fall_multiple - 1.0) * self.speed(now));
+        if crowd > (CROWD_SHARE * survives).max(self.terms.cores) || memory > MEMORY_SHARE {
             return false;
         }
-        self.hold.remove(&(txn.due, id));
-        self.txns.entry(id).and_modify(|t| (t.stage, t.started) = (Stage::Running, now));
+        self.hold.remove((txn.due, id));
+        self.put(id, Stage::Running);
+        self.txns.entry(id).and_modify(|t| t.started = now);
         self.host.start(id);
         true
     }
 
     /// The share of its speed that this server has at least.
     fn speed(&self, now: Duration) -> f64 {
-        let (warmth, cold) = (self.warmth(now), || self.cfg.num("rules.cold_from").unwrap_or(0.0));
-        let from = if warmth < 1.0 { cold().clamp(0.05, 1.0) } else { 1.0 };
+        let warmth = self.warmth(now);
+        let from = if warmth < 1.0 { self.terms.cold_from } else { 1.0 };
         from + (1.0 - from) * warmth
     }
 
@@ -496,27 +477,32 @@
 
     /// Memory in use once a held txn of this size is started, as a share of what there is.
     fn memory(&self, started: f64) -> f64 {
-        let factor = self.cfg.num("family_info.run_factor").unwrap_or(8.0).max(1.0);
-        let of = |t: &Txn| t.kb * if matches!(t.stage, Stage::Held | Stage::Joined) { 1.0 } else { factor };
-        let key_kb = self.cfg.num("family_info.key_kb").unwrap_or(0.0);
-        let limit = self.cfg.num("family_info.memory_kb").unwrap_or(f64::MAX);
-        (self.txns.values().map(of).sum::<f64>() + self.live as f64 * key_kb + started * (factor - 1.0))
-            / limit
+        let (factor, (waiting, begun)) = (self.terms.run_factor, self.ledger.kb());
+        let keys = self.live as f64 * self.terms.key_kb;
+        (waiting + begun * factor + keys + started * (factor - 1.0)) / self.terms.memory_kb
     }
 
     fn too_late(&self, arrived: Duration) -> bool {
-        let grace = self.cfg.span("rules.stop_sending_within").unwrap_or_default();
-        self.leaving.is_some_and(|(told, _)| arrived > told + grace)
+        self.leaving.is_some_and(|(told, _)| arrived > told + self.terms.grace)
     }
 
-    fn count(&self, which: impl Fn(&Txn) -> bool) -> usize {
-        self.txns.values().filter(|t| which(t)).count()
+    /// The one place where a txn's stage changes.
+    fn put(&mut self, id: TxnId, stage: Stage) {
+        let Some(txn) = self.txns.get_mut(&id) else { return };
+        self.ledger.leave(txn.product, txn.stage, txn.kb);
+        self.ledger.enter(txn.product, stage, txn.kb);
+        txn.stage = stage;
+        match stage {
+            Stage::AtCall => self.at_call.insert(id, ()),
+            _ => self.at_call.remove(&id),
+        };
     }
 
     /// Time since the first try, where it shows: most tries wait a usual part of the product's whole time, or
     /// what their caller waited before; one that waits another has what is left of the whole.
     fn age(&mut self, read: &Arrival, arrived: Duration, p: &Product) -> Duration {
-        let span = |end: Duration| end.saturating_sub(arrived).div_duration_f64(p.expiry.max(self.tick));
+        let span =
+            |end: Duration| end.saturating_sub(arrived).div_duration_f64(p.expiry.max(self.terms.tick));
         let left = read.expiry.map_or(1.0, span).min(1.0);
         let (bin, n) = ((left * WAITS) as usize, self.heard.len() as f64);
         let near = self.heard.iter().filter(|h| h.1.abs_diff(bin) <= 1).count() as f64;
@@ -541,24 +527,22 @@
         let place = (read.rank.clamp(0.0, 1.0) * self.products.len() as f64).fract();
         let gain = self.products[product].value * self.usual(|i| self.pace[i]) / self.pace[product].max(1e-9);
         let worth = place + f64::from(u32::from(gain >= self.usual(|i| self.products[i].value)));
-        let Some(tenant) = &read.tenant else { return worth };
+        let Some(tenant) = read.tenant else { return worth };
         // What a tenant sends beyond its share is worth little: this server's part of its quota is a bucket.
-        let mut names = (0..).map_while(|i| self.cfg.text(&format!("tenants.{i}.name")));
-        let Some(i) = names.position(|n| n == tenant) else { return worth };
-        let quota = self.cfg.num(&format!("tenants.{i}.quota_per_s")).unwrap_or(f64::MAX);
-        let rate = quota / self.cfg.num("peers_total").unwrap_or(1.0).max(1.0);
-        let (left, at) = self.quotas.entry(tenant.clone()).or_insert((rate, now));
+        let named = self.terms.tenants.iter().position(|(name, _)| name == tenant);
+        let Some((i, rate)) = named.map(|i| (i, self.terms.tenants[i].1)) else { return worth };
+        let (left, at) = self.quotas.entry(i).or_insert((rate, now));
         *left = (*left + rate * now.saturating_sub(*at).as_secs_f64()).min(rate.max(1.0));
         *at = now;
         if *left < 1.0 {
-            return worth * self.cfg.num("over_share_worth").unwrap_or(1.0).min(1.0);
+            return worth * self.terms.over_share;
         }
         *left -= 1.0;
         worth
     }
 
     fn wait(&self, now: Duration) -> f64 {
-        self.hold.iter().map(|(_, id)| self.run_time(now, self.txns[id].product)).sum::<f64>() / self.window
+        self.hold.cost(|i| self.run_time(now, i)) / self.window
     }
 
     /// The mean of a figure over the products, by their share of what is read.
@@ -576,25 +560,18 @@
     /// Turns away at once what cannot be in time any more. Where the hold as a whole cannot be, the least
     /// worth among those ahead goes, until the rest can.
     fn prune(&mut self, now: Duration) {
-        let mut ahead: Vec<(f64, TxnId, f64)> = Vec::new();
-        let mut wait = 0.0;
-        let sure = 1.0 + SURER * self.level.min(1.0);
-        for (_, id) in self.hold.clone() {
-            let Some(txn) = self.txns.get(&id) else { continue };
-            let run = self.run_time(now, txn.product);
-            let slack = txn.due.saturating_sub(now).as_secs_f64() - run * sure;
-            if slack < 0.0 {
-                self.turn_away(now, id);
-                continue;
-            }
-            ahead.push((txn.worth, id, run));
-            wait += run / self.window;
-            if wait - run / self.window > slack {
-                let least = (0..ahead.len()).min_by(|a, b| ahead[*a].0.total_cmp(&ahead[*b].0)).unwrap_or(0);
-                let (_, least, run) = ahead.remove(least);
-                wait -= run / self.window;
-                self.turn_away(now, least);
-            }
+        let (sure, speed) = (1.0 + SURER * self.level.min(1.0), self.speed(now));
+        let mut after = None;
+        loop {
+            let run = |i: usize| self.pace[i] / speed;
+            let slack = |due: Duration, i: usize| due.saturating_sub(now).as_secs_f64() - run(i) * sure;
+            // None ahead take less than no time, so one without slack is found too.
+            let bad = |ahead: f64, due: Duration, i: usize| ahead / self.window > slack(due, i);
+            let Some((place, product)) = self.hold.find(after, run, bad) else { return };
+            let alone = slack(place.0, product) < 0.0;
+            let least = if alone { None } else { self.hold.least_to(place) };
+            after = Some(place);
+            self.turn_away(now, least.unwrap_or(place).1);
         }
     }
 
@@ -602,12 +579,10 @@
     fn turn_away(&mut self, now: Duration, id: TxnId) {
         let past = self.txns.get(&id).is_some_and(|t| t.due <= now);
         self.drop_unrun(id);
-        let heard = self.cfg.flag("limits.retry_after") == Some(true);
-        let most = self.cfg.span("limits.max_retry_after").filter(|_| heard).unwrap_or_default();
-        let held = self.wait(now);
+        let (most, held, level) = (self.terms.retry_after, self.wait(now), self.level);
         let away = self.leaving.is_some() || (!self.healthy && self.warmth(now) >= 1.0);
         let back_in = if away { most } else { most.min(Duration::from_secs_f64(held)) };
-        self.log(now, "level", format!("declines at level {:.2}: the hold takes {held:.2} s", self.level));
+        self.log(now, "level", || format!("declines at level {level:.2}: the hold takes {held:.2} s"));
         // A warm server that turns away most of what it reads is not alone: one more try would be in vain.
         self.turned += PACE_GAIN;
         let last = self.turned > TURNED_MOST && self.leaving.is_none() && self.warmth(now) >= 1.0;
@@ -627,8 +602,11 @@
             return self.drop_unrun(id);
         }
         txn.answered = true;
-        let halt = self.cfg.text("family_info.halt").unwrap_or("none") != "none";
-        if halt && txn.stage == Stage::Running && self.products[txn.product].effect == Effect::InquiryLike {
+        self.at_call.remove(&id);
+        if self.terms.halt
+            && txn.stage == Stage::Running
+            && self.products[txn.product].effect == Effect::InquiryLike
+        {
             self.host.stop(id);
         }
     }
@@ -636,7 +614,7 @@
     /// Takes a txn that has not run out of the hold, and out of the table.
     fn drop_unrun(&mut self, id: TxnId) {
         if let Some(txn) = self.remove(id) {
-            self.hold.remove(&(txn.due, id));
+            self.hold.remove((txn.due, id));
             let kept = self.kept.remove(&id).inspect(|_| self.host.forget(id));
             self.live -= usize::from(kept.is_some_and(|k| k.live));
         }
@@ -644,38 +622,36 @@
 
     fn remove(&mut self, id: TxnId) -> Option<Txn> {
         let txn = self.txns.remove(&id)?;
-        self.dues.remove(&(txn.expiry.saturating_sub(self.tick), Due::Expiry, id));
+        self.ledger.leave(txn.product, txn.stage, txn.kb);
+        self.at_call.remove(&id);
+        self.dues.remove(&(txn.expiry.saturating_sub(self.terms.tick), Due::Expiry, id));
         Some(txn)
     }
 
     /// Enters a txn in the table for its window, counted from its arrival.
     fn keep(&mut self, now: Duration, id: TxnId, arrived: Duration, p: &Product) {
-        let fresh = self.cfg.span("family_info.fresh_for").unwrap_or_default();
-        let window = if p.effect == Effect::Referenced { p.window } else { fresh };
-        let span = (arrived + window + self.tick * 2).saturating_sub(now);
+        let window = if p.effect == Effect::Referenced { p.window } else { self.terms.fresh };
+        let span = (arrived + window + self.terms.tick * 2).saturating_sub(now);
         if p.effect != Effect::OnceOnly && !window.is_zero() && !span.is_zero() {
             self.host.keep(id, span);
             self.live += 1;
             self.kept.insert(id, Kept { until: now + span, live: true, heir: None });
-            self.dues.insert((now + span, Due::Key, id));
+            self.dues.insert((now + span, Due::Key, id), ());
         }
     }
 
     /// A call is over, here at least: one given up, whatever for, lingers below.
     fn call_over(&mut self, now: Duration, id: TxnId, gone: bool) {
-        let linger = self.cfg.span("family_info.linger").filter(|_| !gone).unwrap_or_default();
-        let open = |call: &&mut (TxnId, Duration, Duration)| call.0 == id && call.2 >= now;
-        self.calls.iter_mut().rev().find(open).into_iter().for_each(|call| call.2 = now + linger);
+        let linger = if gone { Duration::ZERO } else { self.terms.linger };
+        self.calls.ends(id, now, now + linger);
     }
 
     /// The longest that one more call may take: the calls of the last `calls_over`, each counted up to its
     /// time-out, stay within this server's share, however slow what lies below becomes.
     fn call_room(&mut self, now: Duration) -> Duration {
-        let over = self.cfg.span("family_info.calls_over").unwrap_or(Duration::from_secs(5));
-        let since = now.saturating_sub(over);
-        self.calls.retain(|(_, _, until)| *until > since);
-        let taken: Duration = self.calls.iter().map(|(_, made, until)| *until - (*made).max(since)).sum();
-        let most = (self.calls_share * CALLS_SHARE).min(1e6);
+        let over = self.terms.calls_over;
+        let taken = self.calls.taken(now.saturating_sub(over));
+        let most = (self.terms.calls_share * CALLS_SHARE).min(1e6);
         over.mul_f64(most).saturating_sub(taken)
     }
 
@@ -696,32 +672,33 @@
     /// Makes the calls that wait, those first that lose most without, while the calls' window has room. Goes
     /// on without, where that earns a part, once the wait would take half of the time left. Then fills cores.
     fn go_on(&mut self, now: Duration) {
-        let mut waiting: Vec<(i64, Duration, TxnId)> = Vec::new();
-        for (id, t) in self.txns.iter().filter(|(_, t)| t.stage == Stage::AtCall && !t.answered) {
+        if self.at_call.is_empty() {
+            return self.fill(now);
+        }
+        let mut waiting = std::mem::take(&mut self.waiting);
+        for (id, _) in self.at_call.iter() {
+            let t = &self.txns[&id];
             // One that can't be in time any more has only its late value at stake.
             let usual = self.run_time(now, t.product) * 0.5 + self.call_pace;
             let in_time = t.due.saturating_sub(now).as_secs_f64() >= usual;
             let share = if in_time { 1.0 } else { self.products[t.product].late };
-            waiting.push(((-self.stake(t.product) as f64 * share) as i64, t.due, *id));
+            waiting.push(((-self.stake(t.product) as f64 * share) as i64, t.due, id));
         }
-        if waiting.is_empty() {
-            return self.fill(now);
-        }
-        waiting.sort();
+        waiting.sort_unstable();
         let mut longest = self.call_room(now);
-        let (mut ahead, mut out) = (0.0, self.calls.iter().filter(|c| c.2 > now).count() as f64);
+        let (mut ahead, mut out) = (0.0, self.calls.out(now) as f64);
         let dearest =
             (0..self.products.len()).filter(|i| self.products[*i].calls).map(|i| self.stake(i)).max();
-        for (stake, _, id) in waiting {
+        for (stake, _, id) in waiting.drain(..) {
             let txn = &self.txns[&id];
             let p = &self.products[txn.product];
             let rest = Duration::from_secs_f64(self.run_time(now, txn.product) * 0.5);
             let to_due = txn.due.saturating_sub(now + rest);
-            let to_expiry = txn.expiry.saturating_sub(now + rest + self.tick);
+            let to_expiry = txn.expiry.saturating_sub(now + rest + self.terms.tick);
             let gap = self.call_pace / self.calls_window;
-            let last = self.calls.last().map_or(f64::MAX, |c| now.saturating_sub(c.1).as_secs_f64());
+            let last = self.calls.last().map_or(f64::MAX, |made| now.saturating_sub(made).as_secs_f64());
             let paced = out == 0.0 && last >= gap;
-            let left = if p.without > 0.0 && to_due > self.tick { to_due } else { to_expiry };
+            let left = if p.without > 0.0 && to_due > self.terms.tick { to_due } else { to_expiry };
             // One that takes many times the usual will not be answered; it must not keep others out.
             let lost = Duration::from_secs_f64((self.call_pace.max(self.call_base) * CALLS_GONE).min(1e6));
             let left = left.min(lost);
@@ -734,29 +711,28 @@
                 self.resume(now, id);
                 self.host.skip_call(id);
             } else if room {
-                let give_up = left.max(self.tick).min(longest);
+                let give_up = left.max(self.terms.tick).min(longest);
                 out += 1.0;
-                self.calls.push((id, now, now + give_up));
+                self.calls.made(id, now, now + give_up);
                 longest = longest.saturating_sub(give_up);
-                let txn = self.txns.get_mut(&id).expect("listed above");
-                txn.stage = Stage::Calling;
-                txn.calls += 1;
+                self.put(id, Stage::Calling);
+                self.txns.entry(id).and_modify(|t| t.calls += 1);
                 self.host.call(id, give_up);
             } else {
                 ahead += 1.0;
             }
         }
+        self.waiting = waiting;
         self.fill(now);
     }
 
     fn resume(&mut self, now: Duration, id: TxnId) {
-        let Some(txn) = self.txns.get_mut(&id) else { return };
-        txn.stage = Stage::Running;
-        txn.call_wait += now.saturating_sub(txn.call_since);
+        self.put(id, Stage::Running);
+        self.txns.entry(id).and_modify(|t| t.call_wait += now.saturating_sub(t.call_since));
     }
 
     fn run_dues(&mut self, now: Duration) {
-        while let Some(&(at, what, id)) = self.dues.first().filter(|(at, _, _)| *at <= now) {
+        while let Some(((at, what, id), _)) = self.dues.first().filter(|(due, _)| due.0 <= now) {
             self.dues.remove(&(at, what, id));
             match what {
                 Due::Expiry => match self.txns.get(&id).map(|t| (t.stage, t.answered)) {
@@ -774,7 +750,7 @@
                     self.live -= 1;
                     let longest = self.products.iter().map(|p| p.window).max().unwrap_or_default();
                     kept.until = now + longest;
-                    self.dues.insert((now + longest, Due::Key, id));
+                    self.dues.insert((now + longest, Due::Key, id), ());
                 }
             }
         }
@@ -782,17 +758,17 @@
 
     /// The free value, in the form that the settings ask for.
     fn advertise(&mut self, now: Duration) {
-        let value = match self.cfg.text("family_info.advert") {
-            Some("threshold") => self.level.min(1.0) / self.products.len().max(1) as f64,
-            Some("share_of") if !self.healthy => 0.0,
-            Some("share_of") => (0.3 + 0.7 * self.warmth(now)) * (1.0 - self.level.min(1.0) / 2.0),
+        let value = match self.terms.advert {
+            Some(Advert::Threshold) => self.level.min(1.0) / self.products.len().max(1) as f64,
+            Some(Advert::ShareOf) if !self.healthy => 0.0,
+            Some(Advert::ShareOf) => (0.3 + 0.7 * self.warmth(now)) * (1.0 - self.level.min(1.0) / 2.0),
             // Txns a caller may have out with us: the same for all, by how evenly they send.
-            Some("window") => {
-                let each = self.same.max(1.0 / self.cfg.num("family_info.upstreams").unwrap_or(1.0).max(1.0));
+            Some(Advert::Window) => {
+                let each = self.same.max(1.0 / self.terms.upstreams);
                 let stay = |i: usize| (self.run_time(now, i) + self.unread).max(1e-3);
                 self.window * CREDIT * self.usual(|i| self.products[i].sla.as_secs_f64() / stay(i)) * each
             }
-            _ => return,
+            None => return,
         };
         let value = if value < 10.0 { (value * 20.0).round() / 20.0 } else { value.round() };
         if std::mem::replace(&mut self.advertised, value) != value {
@@ -800,10 +776,10 @@
         }
     }
 
-    fn log(&mut self, now: Duration, kind: &'static str, line: String) {
+    fn log(&mut self, now: Duration, kind: &'static str, line: impl FnOnce() -> String) {
         if self.logged.get(kind).is_none_or(|at| now.saturating_sub(*at) >= QUIET_LOG) {
             self.logged.insert(kind, now);
-            self.host.log(&line);
+            self.host.log(&line());
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,11 +4,16 @@
 //! It acts through the `Host` it is handed at start and knows nothing but what it is told.
 
 pub mod brain;
+pub mod calls;
+pub mod hold;
 pub mod host;
+mod ledger;
 pub mod settings;
+pub mod terms;
+pub mod tree;
 pub mod types;
 
 pub use brain::Brain;
 pub use host::Host;
 pub use settings::{Settings, Value};
-pub use types::{Arrival, CallerId, Effect, Outcome, Product, TxnId};
+pub use types::{Arrival, CallerId, Effect, IdMap, Outcome, Product, TxnId};
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,11 +1,17 @@
 //! Ids, products and outcomes. No decision lives here.
 
+use std::collections::HashMap;
+use std::hash::{BuildHasherDefault, DefaultHasher};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// A txn as the server knows it; carries no meaning beyond identity.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TxnId(pub u32);
 
+/// By txn; its order never shows, and it is the same at each start.
+pub type IdMap<V> = HashMap<TxnId, V, BuildHasherDefault<DefaultHasher>>;
+
 /// Who sent a txn.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallerId(pub u64);
@@ -35,7 +41,7 @@
 /// A kind of txn, as the settings describe it.
 #[derive(Clone, Debug)]
 pub struct Product {
-    pub name: String,
+    pub name: Rc<str>,
     pub effect: Effect,
     /// An answer within this time earns full value.
     pub sla: Duration,
@@ -79,11 +85,11 @@
 }
 
 /// What a txn says of itself when it has been read.
-#[derive(Clone, Debug, Default)]
-pub struct Arrival {
-    pub product: String,
-    pub tenant: Option<String>,
-    pub subject: Option<String>,
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Arrival<'a> {
+    pub product: &'a str,
+    pub tenant: Option<&'a str>,
+    pub subject: Option<&'a str>,
     /// When its caller gives up, on the instance's clock.
     pub expiry: Option<Duration>,
     /// Estimated work on a core of standard speed.
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -329,9 +329,9 @@
         self.world.0.borrow_mut().txns.insert(id, seen);
         let product = format!("p{product}");
         let read = Arrival {
-            product,
+            product: &product,
             expiry: told.then_some(expiry),
-            tenant: (rank < 0.5).then(|| "t0".to_string()),
+            tenant: (rank < 0.5).then_some("t0"),
             memory_kb: kb,
             rank,
             lay,
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! All tests of the module; `common` is their one file of helpers.
 
 mod common;
+mod held;
 mod mechanism;
 mod rules;
