--- a/crates/aldercrank-server/src/config.rs
+++ b/crates/aldercrank-server/src/config.rs
@@ -17,6 +17,8 @@
     pub stop: Duration,
     pub memory: usize,
     pub sockets: usize,
+    /// The longest result, in bytes.
+    pub result: usize,
     pub settings: Settings,
 }
 
@@ -37,7 +39,7 @@
             ("name", self.name == new.name),
             ("listen", self.listen == new.listen),
             ("stop_ms", self.stop == new.stop),
-            ("limits", (self.memory, self.sockets) == (new.memory, new.sockets)),
+            ("limits", (self.memory, self.sockets, self.result) == (new.memory, new.sockets, new.result)),
             ("settings", self.settings.0 == new.settings.0),
         ];
         fields.into_iter().filter(|(_, same)| !same).map(|(name, _)| name).collect()
@@ -76,8 +78,13 @@
         if sockets < 32 {
             return Err("limits.sockets is under 32".to_string());
         }
+        let result = match json.get("limits").and_then(|l| l.get("result_kb")) {
+            Some(_) => (limit("result_kb")?.min(64.0 * 1024.0) * 1024.0) as usize,
+            None => crate::pool::BYTES,
+        };
         Ok(Config {
             name,
+            result,
             listen: addr("listen", "ROUTER_LISTEN")?,
             pool: addr("pool", "")?,
             members: addr("members", "")?,
--- a/crates/aldercrank-server/src/core.rs
+++ b/crates/aldercrank-server/src/core.rs
@@ -2,15 +2,19 @@
 //! in with its time, one method each; what is to be done goes out through `Ports`. Decides nothing.
 
 use crate::keys::{Fate, KeyId, Keys, Mark};
+use crate::payload::{self, Payload};
 use crate::pool::{Notice, Rid};
 use crate::slots::{Slot, Slots};
+use aldercrank::tree::Tree;
 use aldercrank::{Arrival, Brain, Effect, Host, Outcome, Settings, TxnId};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
+use std::hash::{BuildHasherDefault, DefaultHasher};
+use std::ops::Bound;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// A connection from an edge node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnId(pub u32);
 
 /// A call's number on its connection.
@@ -25,7 +29,7 @@
 }
 
 /// What the core asks to be reminded of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Reminder {
     /// The module's tick.
     Tick,
@@ -40,11 +44,11 @@
 /// How the core acts. Sockets implement it; tests fake it.
 pub trait Ports {
     /// Final answers.
-    fn settle(&mut self, seat: Seat, result: &[u8]);
+    fn settle(&mut self, seat: Seat, result: Payload);
     fn decline(&mut self, seat: Seat, back_in: Option<Duration>, last: bool);
     fn void(&mut self, seat: Seat);
     /// To the worker pool.
-    fn spawn(&mut self, rid: Rid, product: &str, body: &[u8]);
+    fn spawn(&mut self, rid: Rid, product: &str, body: &Rc<[u8]>);
     fn suspend(&mut self, rid: Rid);
     fn supply(&mut self, rid: Rid, reply: &[u8]);
     fn pass(&mut self, rid: Rid, notice: Notice);
@@ -95,7 +99,8 @@
     seat: Option<Seat>,
     mark: Option<Mark>,
     product: usize,
-    body: Rc<[u8]>,
+    /// None once it is over.
+    body: Option<Rc<[u8]>>,
     repeats: Option<TxnId>,
     stage: Stage,
     heard: Heard,
@@ -135,8 +140,8 @@
     patience: Duration,
     tick: Duration,
     txns: Slots<Txn>,
-    rids: BTreeMap<Rid, TxnId>,
-    seats: BTreeMap<Seat, TxnId>,
+    rids: HashMap<Rid, TxnId, BuildHasherDefault<DefaultHasher>>,
+    seats: Tree<Seat, TxnId>,
     keys: Keys,
     link: Link,
     tag: u64,
@@ -171,7 +176,7 @@
     fn over(&mut self, id: TxnId) {
         let Some(txn) = self.txn(id) else { return };
         txn.stage = Stage::Over;
-        txn.body = Rc::from([]);
+        txn.body = None;
         txn.blocked = None;
         let (rid, waiters) = (txn.rid, std::mem::take(&mut txn.waiters));
         // Those that wait for one that was dropped get nothing.
@@ -182,8 +187,11 @@
         self.release(id);
     }
 
+    /// In the order of their ids, since it shows in what is said to the pool.
     fn in_hand(&self) -> Vec<TxnId> {
-        self.rids.values().copied().collect()
+        let mut all: Vec<(Rid, TxnId)> = self.rids.iter().map(|(rid, id)| (*rid, *id)).collect();
+        all.sort_unstable();
+        all.into_iter().map(|(_, id)| id).collect()
     }
 
     /// Frees the slot, unless a key names it still.
@@ -203,11 +211,10 @@
     fn say_spawn(&mut self, id: TxnId) {
         let (link, tag) = (self.link, self.tag);
         let Some(txn) = self.txns.get_mut(slot(id)) else { return };
-        if link == Link::Up {
+        txn.heard = Heard::Unsaid;
+        if let (Link::Up, Some(body)) = (link, &txn.body) {
             txn.heard = Heard::By(tag + 1);
-            self.ports.spawn(txn.rid, &self.products[txn.product].0, &txn.body);
-        } else {
-            txn.heard = Heard::Unsaid;
+            self.ports.spawn(txn.rid, &self.products[txn.product].0, body);
         }
     }
 
@@ -366,8 +373,8 @@
             patience: patience.unwrap_or(Duration::MAX),
             tick: Duration::ZERO,
             txns: Slots::default(),
-            rids: BTreeMap::new(),
-            seats: BTreeMap::new(),
+            rids: HashMap::default(),
+            seats: Tree::default(),
             keys: Keys::new(room),
             link: Link::Down,
             tag: 0,
@@ -403,7 +410,7 @@
                 Stage::Joined => {
                     let result = txn.mark.map(|mark| self.brain.host.keys.fate(&mark));
                     match result.filter(|_| how == Outcome::Completed) {
-                        Some(Fate::Settled(bytes)) => self.end_join(id, Some(&bytes)),
+                        Some(Fate::Settled(bytes)) => self.end_join(id, Some(Payload::Shared(&bytes))),
                         _ => self.end_join(id, None),
                     }
                 }
@@ -417,7 +424,7 @@
     }
 
     /// Answers a repeat from what it repeats.
-    fn end_join(&mut self, id: TxnId, result: Option<&[u8]>) {
+    fn end_join(&mut self, id: TxnId, result: Option<Payload>) {
         let hands = &mut self.brain.host;
         let now = hands.now;
         let Some(took) =
@@ -466,7 +473,7 @@
             seat: Some(seat),
             mark: ask.mark,
             product,
-            body: ask.body.into(),
+            body: Some(payload::body(ask.body)),
             repeats,
             stage: Stage::Held,
             heard: Heard::Yes,
@@ -499,14 +506,16 @@
 
     /// A connection has gone: nobody waits on it any more.
     pub fn conn_lost(&mut self, now: Duration, conn: ConnId) {
-        let (first, last) = (Seat { conn, call: CallNo(0) }, Seat { conn, call: CallNo(u32::MAX) });
-        let seats: Vec<Seat> = self.brain.host.seats.range(first..=last).map(|(seat, _)| *seat).collect();
-        seats.into_iter().for_each(|seat| self.caller_gone(now, seat));
+        let first = Seat { conn, call: CallNo(0) };
+        let next = |hands: &Hands<P>| hands.seats.next(Bound::Included(&first));
+        while let Some((seat, _)) = next(&self.brain.host).filter(|(seat, _)| seat.conn == conn) {
+            self.caller_gone(now, seat);
+        }
     }
 
     // ---- the worker pool ----
 
-    pub fn run_ended(&mut self, now: Duration, rid: Rid, how: Outcome, took: Duration, result: &[u8]) {
+    pub fn run_ended(&mut self, now: Duration, rid: Rid, how: Outcome, took: Duration, result: Payload) {
         let hands = self.at(now);
         let Some(id) = hands.rids.get(&rid).copied() else {
             return log::debug!("the pool ended {rid}, which is not in hand");
@@ -540,7 +549,7 @@
 
     /// The pool does not know what it was told to run, so it never will.
     pub fn run_unknown(&mut self, now: Duration, rid: Rid) {
-        self.run_ended(now, rid, Outcome::Superseded, Duration::ZERO, &[]);
+        self.run_ended(now, rid, Outcome::Superseded, Duration::ZERO, Payload::Passing(&[]));
     }
 
     pub fn call_needed(&mut self, now: Duration, rid: Rid, notice: Notice, body: &[u8]) {
@@ -558,7 +567,9 @@
     /// The gauges have come, and with them the proof that all said before the poll was heard.
     pub fn polled(&mut self, now: Duration, tag: u64, gauges: &[f64]) {
         let hands = self.at(now);
-        (hands.gauges, hands.polling, hands.answered) = (gauges.to_vec(), false, tag);
+        hands.gauges.clear();
+        hands.gauges.extend_from_slice(gauges);
+        (hands.polling, hands.answered) = (false, tag);
         if hands.link == Link::Replaying(tag) {
             hands.link = Link::Up;
             self.link_settled();
@@ -566,9 +577,18 @@
         self.follow();
     }
 
-    /// The link to the worker pool is lost. What it was told last may not have been heard.
-    pub fn pool_lost(&mut self) {
-        let hands = &mut self.brain.host;
+    /// The link to the worker pool is lost. What it was told last may not have been heard; of the `unsaid`
+    /// spawns not even the first byte went out.
+    pub fn pool_lost(&mut self, now: Duration, unsaid: impl IntoIterator<Item = Rid>) {
+        let hands = self.at(now);
+        for rid in unsaid {
+            let id = hands.rids.get(&rid).copied();
+            let said = |t: &&mut Txn| t.stage == Stage::Running && matches!(t.heard, Heard::By(_));
+            id.and_then(|id| hands.txn(id)).filter(said).into_iter().for_each(|t| t.heard = Heard::Unsaid);
+            // Where nobody waits for it any more, it never will be said.
+            let id = id.filter(|id| hands.txn(*id).is_some_and(|t| t.seat.is_none()));
+            id.into_iter().for_each(|id| hands.unsay(id));
+        }
         (hands.link, hands.polling) = (Link::Down, false);
         let answered = hands.answered;
         for id in hands.in_hand() {
@@ -579,6 +599,7 @@
                 }
             }
         }
+        self.follow();
     }
 
     /// The pool is another one than before: nothing runs any more.
@@ -648,8 +669,9 @@
         let hands = self.at(now);
         match what {
             Reminder::Tick => {
-                let gauges = hands.gauges.clone();
+                let gauges = std::mem::take(&mut hands.gauges);
                 self.brain.woken(now, &gauges);
+                self.brain.host.gauges = gauges;
             }
             // One poll is out at a time; without a link the gauges are those of before.
             Reminder::Gauges if hands.link == Link::Up && !hands.polling => hands.poll(),
--- a/crates/aldercrank-server/src/deadlines.rs
+++ b/crates/aldercrank-server/src/deadlines.rs
@@ -1,26 +1,29 @@
 //! The one ordered structure that all deadlines hang in.
 
-use std::collections::{BTreeMap, BTreeSet};
+use aldercrank::tree::Tree;
+use std::collections::HashMap;
+use std::hash::{BuildHasherDefault, DefaultHasher, Hash};
 use std::time::Duration;
 
 /// Each thing has one deadline at most; a new one replaces it.
 #[derive(Debug)]
 pub struct Deadlines<K> {
-    at: BTreeMap<K, Duration>,
-    order: BTreeSet<(Duration, K)>,
+    at: HashMap<K, Duration, BuildHasherDefault<DefaultHasher>>,
+    order: Tree<(Duration, K)>,
 }
 
 impl<K> Default for Deadlines<K> {
     fn default() -> Self {
-        Deadlines { at: BTreeMap::new(), order: BTreeSet::new() }
+        Deadlines { at: HashMap::default(), order: Tree::default() }
     }
 }
 
-impl<K: Copy + Ord> Deadlines<K> {
+impl<K: Copy + Ord + Hash> Deadlines<K> {
     pub fn set(&mut self, what: K, at: Duration) {
-        self.clear(what);
-        self.at.insert(what, at);
-        self.order.insert((at, what));
+        if let Some(before) = self.at.insert(what, at) {
+            self.order.remove(&(before, what));
+        }
+        self.order.insert((at, what), ());
     }
 
     pub fn clear(&mut self, what: K) {
@@ -29,13 +32,18 @@
         }
     }
 
+    /// When this one comes due.
+    pub fn get(&self, what: K) -> Option<Duration> {
+        self.at.get(&what).copied()
+    }
+
     pub fn next(&self) -> Option<Duration> {
-        self.order.first().map(|(at, _)| *at)
+        self.order.first().map(|((at, _), _)| at)
     }
 
     /// The earliest that has come, taken out.
     pub fn due(&mut self, now: Duration) -> Option<K> {
-        let &(_, what) = self.order.first().filter(|(at, _)| *at <= now)?;
+        let ((_, what), _) = self.order.first().filter(|((at, _), _)| *at <= now)?;
         self.clear(what);
         Some(what)
     }
--- a/crates/aldercrank-server/src/keys.rs
+++ b/crates/aldercrank-server/src/keys.rs
@@ -1,17 +1,19 @@
 //! Marks of txns (tokens, and subjects of reads) that the module keeps, and the results of those that ran.
 
+use crate::payload::Payload;
 use crate::slots::{Slot, Slots};
+use aldercrank::tree::Tree;
 use aldercrank::TxnId;
-use std::collections::{BTreeMap, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
-use std::rc::Rc;
+use bytes::Bytes;
+use std::collections::HashMap;
+use std::hash::{BuildHasherDefault, DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 /// The most entries, some of them past their end.
 const ENTRIES: usize = 60_000;
 
 /// What links a txn with its repeats, in as many bytes whatever was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Mark {
     Token([u64; 2]),
     Subject([u64; 2]),
@@ -37,14 +39,14 @@
     })
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KeyId(u32);
 
 /// What a kept txn's run has come to.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fate {
     Open,
-    Settled(Rc<[u8]>),
+    Settled(Bytes),
     /// It ended otherwise, or its result had to make room.
     Lost,
 }
@@ -55,22 +57,25 @@
     /// The try that ran, and what it came to.
     ran: Option<TxnId>,
     fate: Fate,
+    /// The place of its result among the kept ones.
+    kept: u64,
     until: Duration,
 }
 
 pub struct Keys {
     entries: Slots<Entry>,
-    marks: BTreeMap<Mark, KeyId>,
-    /// Those with a result, oldest first, and what the results take.
-    results: VecDeque<KeyId>,
+    marks: HashMap<Mark, KeyId, BuildHasherDefault<DefaultHasher>>,
+    /// Those with a result, in the order in which the results came, and what they take.
+    results: Tree<u64, KeyId>,
+    results_ever: u64,
     bytes: usize,
     room: usize,
 }
 
 impl Keys {
     pub fn new(room: usize) -> Keys {
-        let (entries, marks, results) = (Slots::default(), BTreeMap::new(), VecDeque::new());
-        Keys { entries, marks, results, bytes: 0, room }
+        let (entries, marks, results) = (Slots::default(), HashMap::default(), Tree::default());
+        Keys { entries, marks, results, results_ever: 0, bytes: 0, room }
     }
 
     fn entry(&mut self, mark: &Mark) -> Option<&mut Entry> {
@@ -98,7 +103,7 @@
             let named = entry.ran == Some(before) || before == txn;
             return Some((self.marks[mark], Some(before).filter(|_| !named)));
         }
-        let entry = Entry { mark: *mark, holder: txn, ran: None, fate: Fate::Open, until };
+        let entry = Entry { mark: *mark, holder: txn, ran: None, fate: Fate::Open, kept: 0, until };
         let key = KeyId(self.entries.insert(entry)?.0);
         self.marks.insert(*mark, key);
         Some((key, None))
@@ -141,16 +146,19 @@
     }
 
     /// The run has ended, with a result where it went well.
-    pub fn ended(&mut self, mark: &Mark, txn: TxnId, result: Option<&[u8]>) {
+    pub fn ended(&mut self, mark: &Mark, txn: TxnId, result: Option<Payload>) {
+        let number = self.results_ever;
         let Some(entry) = self.entry(mark).filter(|e| e.ran == Some(txn)) else { return };
-        entry.fate = result.map_or(Fate::Lost, |bytes| Fate::Settled(bytes.into()));
-        if let Some(bytes) = result {
-            self.bytes += bytes.len();
-            self.results.push_back(self.marks[mark]);
+        entry.fate = result.map_or(Fate::Lost, |result| Fate::Settled(result.keep()));
+        entry.kept = number;
+        if let Some(result) = result {
+            self.bytes += result.bytes().len();
+            self.results_ever += 1;
+            self.results.insert(number, self.marks[mark]);
         }
         // Only results make room. The entries stay, so that nothing runs again for want of memory.
         while self.bytes > self.room {
-            let Some(oldest) = self.results.front().copied() else { break };
+            let Some((_, oldest)) = self.results.first() else { break };
             self.drop_result(oldest);
         }
     }
@@ -163,7 +171,7 @@
         if let Some(entry) = self.entries.get_mut(Slot(key.0)) {
             if let Fate::Settled(bytes) = std::mem::replace(&mut entry.fate, Fate::Lost) {
                 self.bytes -= bytes.len();
-                self.results.retain(|k| *k != key);
+                self.results.remove(&entry.kept);
             }
         }
     }
--- a/crates/aldercrank-server/src/lib.rs
+++ b/crates/aldercrank-server/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod members;
 pub mod msgpack;
 pub mod net;
+pub mod payload;
 pub mod phase;
 pub mod pool;
 pub mod slots;
--- a/crates/aldercrank-server/src/msgpack.rs
+++ b/crates/aldercrank-server/src/msgpack.rs
@@ -181,17 +181,38 @@
     text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
 }
 
-/// What goes along with answers.
-fn fields(into: &mut Vec<u8>, hint: Option<f64>, back_in: Option<Duration>, last: bool) {
-    let mut all: Vec<(&str, String)> = Vec::new();
-    all.extend(hint.map(|h| ("hint", format!("{h}"))));
+/// A number as the text that fields carry.
+struct Digits {
+    bytes: [u8; 20],
+    from: usize,
+}
+
+impl Digits {
+    fn of(mut n: u128) -> Digits {
+        let mut digits = Digits { bytes: [b'0'; 20], from: 20 };
+        while digits.from > 0 && (n > 0 || digits.from == 20) {
+            digits.from -= 1;
+            digits.bytes[digits.from] = b'0' + (n % 10) as u8;
+            n /= 10;
+        }
+        digits
+    }
+
+    fn text(&self) -> &str {
+        std::str::from_utf8(&self.bytes[self.from..]).unwrap_or_default()
+    }
+}
+
+/// What goes along with answers; the free value as it is written.
+fn fields(into: &mut Vec<u8>, hint: Option<&str>, back_in: Option<Duration>, last: bool) {
     // Rounded up: a moment of less than a millisecond still is one.
-    all.extend(back_in.map(|b| ("backoff", b.as_micros().div_ceil(1000).to_string())));
-    all.extend(last.then(|| ("final", "1".to_string())));
-    let _ = encode::write_map_len(into, all.len() as u32);
-    for (name, value) in all {
+    let back_in = back_in.map(|b| Digits::of(b.as_micros().div_ceil(1000)));
+    let back_in = back_in.as_ref().map(Digits::text);
+    let all = [("hint", hint), ("backoff", back_in), ("final", last.then_some("1"))];
+    let _ = encode::write_map_len(into, all.iter().flat_map(|(_, value)| value).count() as u32);
+    for (name, value) in all.iter().filter_map(|(name, value)| value.map(|v| (name, v))) {
         let _ = encode::write_str(into, name);
-        let _ = encode::write_str(into, &value);
+        let _ = encode::write_str(into, value);
     }
 }
 
@@ -201,15 +222,19 @@
     let _ = encode::write_uint(into, u64::from(call.0));
 }
 
-pub fn settled(into: &mut Vec<u8>, call: CallNo, result: &[u8], hint: Option<f64>) {
+/// Before a result of this length; `settled_end` follows it.
+pub fn settled(into: &mut Vec<u8>, call: CallNo, length: usize) {
     head(into, call);
     let _ = encode::write_nil(into);
     let _ = encode::write_array_len(into, 2);
-    let _ = encode::write_bin(into, result);
+    let _ = encode::write_bin_len(into, length as u32);
+}
+
+pub fn settled_end(into: &mut Vec<u8>, hint: Option<&str>) {
     fields(into, hint, None, false);
 }
 
-fn error(into: &mut Vec<u8>, call: CallNo, name: &str, with: (Option<f64>, Option<Duration>, bool)) {
+fn error(into: &mut Vec<u8>, call: CallNo, name: &str, with: (Option<&str>, Option<Duration>, bool)) {
     head(into, call);
     let _ = encode::write_array_len(into, 2);
     let _ = encode::write_str(into, name);
@@ -217,15 +242,15 @@
     let _ = encode::write_nil(into);
 }
 
-pub fn declined(into: &mut Vec<u8>, call: CallNo, hint: Option<f64>, back_in: Option<Duration>, last: bool) {
+pub fn declined(into: &mut Vec<u8>, call: CallNo, hint: Option<&str>, back_in: Option<Duration>, last: bool) {
     error(into, call, "Overloaded", (hint, back_in, last));
 }
 
-pub fn voided(into: &mut Vec<u8>, call: CallNo, hint: Option<f64>) {
+pub fn voided(into: &mut Vec<u8>, call: CallNo, hint: Option<&str>) {
     error(into, call, "Internal", (hint, None, false));
 }
 
-pub fn check(into: &mut Vec<u8>, call: CallNo, good: bool, hint: Option<f64>) {
+pub fn check(into: &mut Vec<u8>, call: CallNo, good: bool, hint: Option<&str>) {
     head(into, call);
     let _ = encode::write_nil(into);
     let _ = encode::write_array_len(into, 2);
--- a/crates/aldercrank-server/src/net/conns.rs
+++ b/crates/aldercrank-server/src/net/conns.rs
@@ -6,15 +6,17 @@
 use crate::core::{CallNo, ConnId, Seat};
 use crate::deadlines::Deadlines;
 use crate::msgpack;
+use crate::payload::Out;
 use crate::slots::{Slot, Slots};
-use std::collections::BTreeSet;
+use aldercrank::tree::Tree;
+use std::ops::Bound;
 use std::time::Duration;
 
 /// How long the other side has to close what was told to close.
 const PARTING: Duration = Duration::from_secs(1);
 /// How long a connection may go without a whole message, after its start or after a message's first byte. An
 /// edge node opens one when it has something to say, and messages are small.
-const WHOLE: Duration = Duration::from_millis(1500);
+pub(super) const WHOLE: Duration = Duration::from_millis(1500);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum State {
@@ -25,10 +27,17 @@
 
 pub struct Conn {
     pub(super) link: Link,
-    pub(super) calls: BTreeSet<CallNo>,
+    /// Open calls, few enough to look through.
+    pub(super) calls: Vec<CallNo>,
     pub(super) state: State,
     /// It waits for its turn to be read.
     pub(super) queued: bool,
+    /// The other side has ended: it is read until that shows.
+    pub(super) ended: bool,
+    /// It was not read when it had something, since its reader lagged.
+    pub(super) unread: bool,
+    /// Something has been said that is not written yet.
+    dirty: bool,
     /// When its last call was answered.
     quiet: Duration,
     /// Whether it has ever said a whole message; and until when it owes one.
@@ -40,17 +49,31 @@
 
 impl Conn {
     pub(super) fn new(link: Link, now: Duration, dry: Duration) -> Conn {
-        let (calls, state, owes) = (BTreeSet::new(), State::Open, Some(now + WHOLE));
-        Conn { link, calls, state, queued: false, quiet: now, spoken: false, owes, dry }
+        let (calls, state, owes) = (Vec::new(), State::Open, Some(now + WHOLE));
+        let (queued, ended, unread, dirty) = (false, false, false, false);
+        Conn { link, calls, state, queued, ended, unread, dirty, quiet: now, spoken: false, owes, dry }
+    }
+
+    /// Where it stands among the idle ones.
+    fn place(&self, conn: ConnId) -> Place {
+        (self.spoken, self.quiet, conn)
     }
 }
 
+/// Whether it has ever said a whole message, and since when nothing is open on it.
+type Place = (bool, Duration, ConnId);
+
 #[derive(Default)]
 pub struct Conns {
     conns: Slots<Conn>,
+    /// Those with nothing open, the first to go first.
+    idle_ones: Tree<Place>,
     most: usize,
     idle: Option<Duration>,
-    pub hint: Option<f64>,
+    /// The free value as it is written.
+    hint: Option<String>,
+    /// Those on which something has been said this turn.
+    dirty: Vec<ConnId>,
 }
 
 impl Conns {
@@ -58,20 +81,41 @@
         Conns { most, ..Conns::default() }
     }
 
-    pub(super) fn insert(&mut self, conn: Conn) -> Option<ConnId> {
-        self.conns.insert(conn).map(|slot| ConnId(slot.0))
+    /// Its number is handed to `link`, which may refuse it.
+    pub(super) fn insert<E>(
+        &mut self,
+        conn: Conn,
+        link: impl FnOnce(&Link, ConnId) -> Result<(), E>,
+    ) -> Result<Option<ConnId>, E> {
+        let Some(slot) = self.conns.insert(conn) else { return Ok(None) };
+        let linked = self.conns.get(slot).map_or(Ok(()), |c| link(&c.link, ConnId(slot.0)));
+        if linked.is_err() {
+            self.conns.remove(slot);
+        }
+        linked.map(|()| Some(ConnId(slot.0)))
+    }
+
+    pub fn set_hint(&mut self, value: f64) {
+        self.hint = Some(value.to_string());
     }
 
     /// After a read: whether whole messages came, and whether a part of one is left.
     pub(super) fn heard(&mut self, conn: ConnId, now: Duration, whole: bool, deadlines: &mut Deadlines<Due>) {
-        let Some(c) = self.get(conn) else { return };
-        c.spoken |= whole;
+        let Some(c) = self.conns.get_mut(Slot(conn.0)) else { return };
+        if whole && !c.spoken {
+            if self.idle_ones.remove(&c.place(conn)).is_some() {
+                self.idle_ones.insert((true, c.quiet, conn), ());
+            }
+            c.spoken = true;
+        }
         let owes = match c.link.input.is_empty() {
             true if c.spoken => None,
             false if whole || c.owes.is_none() => Some(now + WHOLE),
             _ => c.owes,
         };
-        c.owes = owes;
+        if std::mem::replace(&mut c.owes, owes) == owes {
+            return;
+        }
         match owes {
             Some(until) => deadlines.set(Due::Whole(conn), until),
             None => deadlines.clear(Due::Whole(conn)),
@@ -80,8 +124,16 @@
 
     /// The one that has had nothing open for longest, those first that have never said anything whole.
     pub(super) fn idlest(&self) -> Option<ConnId> {
-        let idle = self.conns.iter().filter(|(_, c)| c.calls.is_empty());
-        idle.min_by_key(|(_, c)| (c.spoken, c.quiet)).map(|(slot, _)| ConnId(slot.0))
+        self.idle_ones.first().map(|((_, _, conn), _)| conn)
+    }
+
+    /// The one of all that has had nothing open for longest, and since when.
+    fn quietest(&self) -> Option<(Duration, ConnId)> {
+        let firsts = [false, true].map(|spoken| {
+            let from = (spoken, Duration::ZERO, ConnId(0));
+            self.idle_ones.next(Bound::Included(&from)).map(|((_, quiet, conn), _)| (quiet, conn))
+        });
+        firsts.into_iter().flatten().min()
     }
 
     pub fn is_empty(&self) -> bool {
@@ -96,38 +148,96 @@
         self.conns.get_mut(Slot(conn.0))
     }
 
-    /// Writes an answer; a call that is not open any more has nobody to read it.
-    pub fn answer(&mut self, seat: Seat, write: impl FnOnce(&mut Vec<u8>, Option<f64>)) {
-        let hint = self.hint;
-        if let Some(conn) = self.get(seat.conn).filter(|c| c.calls.contains(&seat.call)) {
-            conn.calls.remove(&seat.call);
-            conn.link.say(|out| write(out, hint));
+    /// Notes a call as open; false where its number is open already.
+    pub(super) fn open(&mut self, conn: ConnId, call: CallNo) -> bool {
+        let Some(c) = self.conns.get_mut(Slot(conn.0)) else { return false };
+        if c.calls.contains(&call) {
+            return false;
+        }
+        if c.calls.is_empty() {
+            self.idle_ones.remove(&c.place(conn));
+        }
+        c.calls.push(call);
+        true
+    }
+
+    /// Adds to what is said on a connection; it is written at the end of the turn.
+    pub(super) fn say(&mut self, conn: ConnId, write: impl FnOnce(&mut Out, Option<&str>)) {
+        let Some(c) = self.conns.get_mut(Slot(conn.0)) else { return };
+        write(&mut c.link.out, self.hint.as_deref());
+        if !std::mem::replace(&mut c.dirty, true) {
+            self.dirty.push(conn);
+        }
+    }
+
+    /// Writes all that has been said, as far as the sockets take it.
+    pub(super) fn flush(&mut self) {
+        while let Some(conn) = self.dirty.pop() {
+            if let Some(c) = self.get(conn) {
+                c.dirty = false;
+                c.link.flush();
+            }
+        }
+    }
+
+    /// Says an answer; a call that is not open any more has nobody to read it.
+    pub fn answer(&mut self, seat: Seat, write: impl FnOnce(&mut Out, Option<&str>)) {
+        let Some(c) = self.get(seat.conn) else { return };
+        if let Some(at) = c.calls.iter().position(|call| *call == seat.call) {
+            c.calls.remove(at);
+            self.say(seat.conn, write);
         }
     }
 
     /// After an answer: what is idle now closes when its time comes.
     pub fn rest(&mut self, conn: ConnId, now: Duration, deadlines: &mut Deadlines<Due>) {
-        let idle = self.idle;
-        let Some(c) = self.get(conn).filter(|c| c.calls.is_empty()) else { return };
+        let Some(c) = self.conns.get_mut(Slot(conn.0)).filter(|c| c.calls.is_empty()) else { return };
+        self.idle_ones.remove(&c.place(conn));
         c.quiet = now;
+        self.idle_ones.insert(c.place(conn), ());
         match c.state {
             State::Open => {
-                if let Some(idle) = idle {
-                    deadlines.set(Due::Idle(conn), now + idle);
+                if let Some(idle) = self.idle.filter(|_| deadlines.get(Due::Idle).is_none()) {
+                    deadlines.set(Due::Idle, now + idle);
                 }
             }
-            State::Closing => deadlines.set(Due::Idle(conn), now + PARTING),
+            State::Closing => deadlines.set(Due::Parted(conn), now + PARTING),
         }
     }
 
-    /// How long connections may stay idle from now on.
+    /// How long connections may stay idle from now on. One deadline stands for all: that of the quietest.
     pub fn close_idle(&mut self, span: Duration, deadlines: &mut Deadlines<Due>) {
-        if self.idle == Some(span) {
-            return;
+        if self.idle.replace(span) != Some(span) {
+            self.next_idle(deadlines);
+        }
+    }
+
+    fn next_idle(&self, deadlines: &mut Deadlines<Due>) {
+        let next = self.quietest().zip(self.idle);
+        if let Some(((quiet, _), idle)) = next {
+            deadlines.set(Due::Idle, quiet + idle);
+        }
+    }
+
+    /// Connections that have been idle for their time are told to close.
+    pub(super) fn part_idle(&mut self, now: Duration, deadlines: &mut Deadlines<Due>) {
+        let Some(idle) = self.idle else { return };
+        while let Some((_, conn)) = self.quietest().filter(|(quiet, _)| *quiet + idle <= now) {
+            // One that is told already has a deadline of its own.
+            let told = self.get(conn).is_none_or(|c| c.state == State::Closing);
+            if told {
+                self.forget_idle(conn);
+            } else {
+                self.part(conn, now, deadlines);
+            }
+        }
+        self.next_idle(deadlines);
+    }
+
+    fn forget_idle(&mut self, conn: ConnId) {
+        if let Some(c) = self.conns.get_mut(Slot(conn.0)) {
+            self.idle_ones.remove(&c.place(conn));
         }
-        self.idle = Some(span);
-        let open = self.conns.iter().filter(|(_, c)| c.state == State::Open && c.calls.is_empty());
-        open.for_each(|(slot, c)| deadlines.set(Due::Idle(ConnId(slot.0)), c.quiet + span));
     }
 
     /// Tells the other side that nothing new is to come; it closes once all is answered. Unlike a close by
@@ -135,7 +245,7 @@
     pub fn part(&mut self, conn: ConnId, now: Duration, deadlines: &mut Deadlines<Due>) {
         if let Some(c) = self.get(conn).filter(|c| c.state == State::Open) {
             c.state = State::Closing;
-            c.link.say(msgpack::closing);
+            self.say(conn, |out, _| out.words(msgpack::closing));
             self.rest(conn, now, deadlines);
         }
     }
@@ -146,8 +256,9 @@
     }
 
     pub(super) fn drop(&mut self, conn: ConnId, on_loop: &Loop, deadlines: &mut Deadlines<Due>) {
-        deadlines.clear(Due::Idle(conn));
+        deadlines.clear(Due::Parted(conn));
         deadlines.clear(Due::Whole(conn));
+        self.forget_idle(conn);
         if let Some(c) = self.conns.remove(Slot(conn.0)) {
             c.link.close(on_loop);
         }
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -1,12 +1,14 @@
 //! What edge nodes say: calls in, each read and handed to the core.
 
-use super::conns::{Conn, State};
-use super::link::{keep_rest, Fill, Link};
+use super::conns::{Conn, WHOLE};
+use super::link::{keep_rest, Got, Link};
+use super::wait::{Ready, Whose};
 use super::{Due, Server};
 use crate::clock::Clock;
 use crate::core::{Ask, CallNo, ConnId, Seat};
 use crate::keys::Mark;
 use crate::msgpack::{self, Edge, Fields};
+use crate::payload::count;
 use crate::pool::Rid;
 use aldercrank::{Arrival, CallerId};
 use std::net::{TcpListener, TcpStream};
@@ -77,11 +79,8 @@
 
     fn checked(&mut self, call: CallNo) {
         let (good, mut net) = (self.server.fit(), self.server.net());
-        let hint = net.edge.hint;
-        if let Some(conn) = net.edge.get(self.conn) {
-            conn.link.say(|out| msgpack::check(out, call, good, hint));
-            net.rest(self.conn);
-        }
+        net.edge.say(self.conn, |out, hint| out.words(|words| msgpack::check(words, call, good, hint)));
+        net.rest(self.conn);
     }
 
     fn interrupted(&mut self, call: CallNo) {
@@ -146,42 +145,43 @@
 
     fn take(&mut self, stream: TcpStream, dry: Duration) {
         let now = self.now();
-        let mut net = self.net();
-        // The number comes first, since the loop must know whom to call.
-        let on_loop = net.on_loop.clone();
-        let cell = std::rc::Rc::new(std::cell::Cell::new(ConnId(0)));
-        let number = cell.clone();
         if let Err(e) = socket2::SockRef::from(&stream).set_send_buffer_size(SENDING) {
             log::debug!("a connection keeps its buffer: {e}");
         }
-        let link = Link::new(&on_loop, stream, move |ready, server: &mut Server| {
-            if ready.writable {
-                server.edge_writable(number.get());
-            }
-            server.edge_ready(number.get());
-        });
-        let conn = match link {
+        let conn = match Link::accepted(stream) {
             Ok(link) => Conn::new(link, now, dry),
             Err(e) => return log::error!("cannot take a connection: {e}"),
         };
-        if let Some(conn) = net.edge.insert(conn) {
-            cell.set(conn);
-            net.rest(conn);
-            let net = &mut *net;
-            net.edge.heard(conn, now, false, &mut net.deadlines);
-        }
-    }
-
-    fn edge_writable(&mut self, conn: ConnId) {
         let mut net = self.net();
-        if let Some(c) = net.edge.get(conn) {
-            c.link.flush();
+        let net = &mut *net;
+        let waiter = &net.waiter;
+        match net.edge.insert(conn, |link, conn| link.wait_in(waiter, Whose::Edge(conn.0))) {
+            Ok(Some(conn)) => {
+                net.rest(conn);
+                net.deadlines.set(Due::Whole(conn), now + WHOLE);
+            }
+            Ok(None) => {}
+            Err(e) => log::error!("cannot wait for a connection: {e}"),
         }
     }
 
-    /// Something has come: it is read at once, but after a long round of reading waits for its turn.
-    fn edge_ready(&mut self, conn: ConnId) {
+    /// Something has come up: what waits is written, and what has come is read at once, but after a long round
+    /// of reading waits for its turn.
+    pub fn edge_ready(&mut self, conn: ConnId, ready: Ready) {
         let now = self.now();
+        let unread = {
+            let mut net = self.net();
+            let Some(c) = net.edge.get(conn) else { return };
+            c.ended |= ready.ended;
+            if ready.writable {
+                c.link.flush();
+            }
+            c.unread
+        };
+        // What was not read while its reader lagged has had its event.
+        if !ready.readable && !unread {
+            return;
+        }
         let began = *self.round.get_or_insert(now);
         if now < began + self.slice {
             self.edge_readable(conn);
@@ -192,24 +192,42 @@
 
     /// Reads a connection once; one that may have more waits for its next turn.
     pub fn edge_readable(&mut self, conn: ConnId) {
-        let fill = match self.net().edge.get(conn) {
-            Some(c) if c.link.waiting() > UNSENT => return,
-            Some(c) => c.link.fill(),
-            None => return,
+        let mut chunk = self.chunk();
+        let got = match self.net().edge.get(conn) {
+            Some(c) => {
+                // What was said this turn may not even have been tried.
+                if c.link.waiting() > UNSENT {
+                    c.link.flush();
+                }
+                c.unread = c.link.waiting() > UNSENT;
+                match c.unread {
+                    true => None,
+                    false => Some((c.link.read(&mut chunk), c.ended)),
+                }
+            }
+            None => None,
         };
-        match fill {
-            Fill::More => {
-                self.edge_heard(conn);
-                self.edge_turn(conn);
+        let now = self.now();
+        match got {
+            Some((Got::Bytes(n), ended)) => {
+                let more = n == chunk.len() || ended;
+                self.edge_heard(conn, &chunk[..n]);
+                // Less than was asked for is all there is, unless it was the end.
+                if more {
+                    self.edge_turn(conn);
+                } else if let Some(c) = self.net().edge.get(conn) {
+                    c.dry = now;
+                }
             }
-            Fill::Dry => {
-                let now = self.now();
+            Some((Got::Dry, _)) => {
                 if let Some(c) = self.net().edge.get(conn) {
                     c.dry = now;
                 }
             }
-            Fill::End => self.edge_lost(conn),
+            Some((Got::End, _)) => self.edge_lost(conn),
+            None => {}
         }
+        self.chunk = chunk;
     }
 
     /// Puts a connection last in the row of those to be read.
@@ -235,15 +253,22 @@
         }
     }
 
-    fn edge_heard(&mut self, conn: ConnId) {
-        let input = match self.net().edge.get(conn) {
+    fn edge_heard(&mut self, conn: ConnId, bytes: &[u8]) {
+        let mut input = match self.net().edge.get(conn) {
             Some(c) => std::mem::take(&mut c.link.input),
             None => return,
         };
+        // Most messages come whole, and are read where they are.
+        let pieces = !input.is_empty();
+        if pieces {
+            count(bytes.len());
+            input.extend_from_slice(bytes);
+        }
+        let heard = if pieces { &input } else { bytes };
         let mut taken = 0;
         loop {
             let mut hear = Hear { server: self, conn, misused: None };
-            match msgpack::read(&input[taken..], &mut hear) {
+            match msgpack::read(&heard[taken..], &mut hear) {
                 Ok(Some(n)) => taken += n,
                 Ok(None) => break,
                 Err(broken) => hear.misused = Some(broken.0),
@@ -256,7 +281,13 @@
         let mut net = self.net();
         let net = &mut *net;
         let Some(c) = net.edge.get(conn) else { return };
-        c.link.input = keep_rest(input, taken);
+        c.link.input = if pieces {
+            keep_rest(input, taken)
+        } else {
+            count(bytes.len() - taken);
+            input.extend_from_slice(&bytes[taken..]);
+            input
+        };
         net.edge.heard(conn, now, taken > 0, &mut net.deadlines);
     }
 
@@ -293,17 +324,16 @@
         if c.calls.len() >= OPEN {
             return Err("too many calls open");
         }
-        if !c.calls.insert(call) {
-            return Err("a call's id is open already");
-        }
-        Ok(())
+        net.edge.open(conn, call).then_some(()).ok_or("a call's id is open already")
     }
 
     /// Answers without the module: for what makes no sense, or came when nothing can run.
     fn refuse(&mut self, seat: Seat, never_ran: bool) {
-        self.net().answer(seat, |out, hint| match never_ran {
-            true => msgpack::declined(out, seat.call, hint, None, false),
-            false => msgpack::voided(out, seat.call, hint),
+        self.net().answer(seat, |out, hint| {
+            out.words(|words| match never_ran {
+                true => msgpack::declined(words, seat.call, hint, None, false),
+                false => msgpack::voided(words, seat.call, hint),
+            });
         });
     }
 
@@ -334,26 +364,13 @@
         }
     }
 
-    /// A connection has been idle for its time, or was told to close and has not been closed.
-    pub fn edge_idle(&mut self, conn: ConnId) {
-        let now = self.now();
-        let gone = {
-            let mut net = self.net();
-            let net = &mut *net;
-            match net.edge.get(conn).map(|c| (c.state, c.calls.is_empty())) {
-                Some((State::Open, true)) => {
-                    net.edge.part(conn, now, &mut net.deadlines);
-                    false
-                }
-                Some((State::Closing, true)) => true,
-                _ => false,
-            }
-        };
-        if gone {
+    /// A connection was told to close and has not been closed.
+    pub fn edge_parted(&mut self, conn: ConnId) {
+        let gone = |server: &Server| server.net().edge.get(conn).is_some_and(|c| c.calls.is_empty());
+        if gone(self) {
             // Not without a last look at what may have come.
             self.edge_readable(conn);
-            let idle = self.net().edge.get(conn).is_some_and(|c| c.calls.is_empty());
-            if idle {
+            if gone(self) {
                 self.edge_lost(conn);
             }
         }
--- a/crates/aldercrank-server/src/net/exchange.rs
+++ b/crates/aldercrank-server/src/net/exchange.rs
@@ -1,6 +1,6 @@
 //! One question in HTTP on a connection of its own, and its one answer: a call to the index, a report.
 
-use super::link::{Fill, Link, Loop};
+use super::link::{Got, Link, Loop};
 use super::Server;
 use crate::http::{Reader, Reply};
 use std::cell::Cell;
@@ -34,29 +34,30 @@
         // The loop must know whom to call before there is a number.
         let cell = Rc::new(Cell::new(None));
         let number = cell.clone();
-        let mut link = Link::dial(on_loop, to, move |_, server: &mut Server| {
+        let mut link = Link::dial(to)?;
+        link.on_loop(on_loop, move |_, server: &mut Server| {
             if let Some(id) = number.get() {
                 on(server, id);
             }
         })?;
-        link.say(|out| out.extend(question));
+        link.out.words(|words| words.extend_from_slice(&question));
         let id = keep(Exchange { link, reader: Reader::default() });
         cell.set(id);
         Ok(id)
     }
 
     /// Reads what has come: nothing while neither the answer is whole nor the connection at its end.
-    pub fn hear(&mut self) -> Option<Result<Reply, Failure>> {
+    pub fn hear(&mut self, chunk: &mut [u8]) -> Option<Result<Reply, Failure>> {
         if self.link.connected().is_err() {
             return Some(Err(Failure::NeverAsked));
         }
         self.link.flush();
         loop {
-            match self.link.fill() {
-                Fill::Dry => return None,
-                Fill::End if !self.link.began() => return Some(Err(Failure::NeverAsked)),
-                Fill::End => return Some(Err(Failure::Closed)),
-                Fill::More => {}
+            match self.link.read(chunk) {
+                Got::Dry => return None,
+                Got::End if !self.link.began() => return Some(Err(Failure::NeverAsked)),
+                Got::End => return Some(Err(Failure::Closed)),
+                Got::Bytes(n) => self.link.input.extend_from_slice(&chunk[..n]),
             }
             match self.reader.read(&self.link.input) {
                 Ok(None) => {}
--- a/crates/aldercrank-server/src/net/index.rs
+++ b/crates/aldercrank-server/src/net/index.rs
@@ -66,9 +66,9 @@
     }
 
     /// Hears on a connection to the index: once the call is over, whose it was, how it went, and the body.
-    fn call_heard(&mut self, conn: CallConn) -> Option<(TxnId, Outcome, Vec<u8>)> {
+    fn call_heard(&mut self, conn: CallConn, chunk: &mut [u8]) -> Option<(TxnId, Outcome, Vec<u8>)> {
         let c = self.calls.conns.get_mut(conn.0)?;
-        let (how, body) = match c.exchange.hear()? {
+        let (how, body) = match c.exchange.hear(chunk)? {
             Ok(reply) => {
                 let how = index::outcome(&reply);
                 if how == Outcome::Errored {
@@ -95,7 +95,9 @@
 
 impl Server {
     fn call_ready(&mut self, conn: CallConn) {
-        let heard = self.net().call_heard(conn);
+        let mut chunk = self.chunk();
+        let heard = self.net().call_heard(conn, &mut chunk);
+        self.chunk = chunk;
         let now = self.now();
         if let (Some(core), Some((txn, how, reply))) = (&mut self.core, heard) {
             core.call_ended(now, txn, how, &reply);
--- a/crates/aldercrank-server/src/net/link.rs
+++ b/crates/aldercrank-server/src/net/link.rs
@@ -1,10 +1,12 @@
-//! One TCP connection in the loop: non-blocking, with what is read and what is still to be written.
+//! One TCP connection: non-blocking, with what is read in part and what is still to be written.
 
+use super::wait::{Waiter, Whose};
 use super::Server;
+use crate::payload::Out;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Read};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -12,44 +14,44 @@
 
 /// How a read ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fill {
-    /// There may be more.
-    More,
+pub enum Got {
+    Bytes(usize),
+    /// Nothing is there.
     Dry,
     /// The other side has closed, or the connection broke.
     End,
 }
 
-const CHUNK: usize = 16 * 1024;
+/// What is read at once, into a buffer that all connections share.
+pub const CHUNK: usize = 64 * 1024;
+/// Room that a connection keeps for what it has read in part.
+const KEPT: usize = 1024;
 
 pub struct Link {
     stream: Rc<TcpStream>,
-    token: RegistrationToken,
+    /// Where calloop carries it.
+    token: Option<RegistrationToken>,
+    /// What has been read and is not whole.
     pub input: Vec<u8>,
-    out: Vec<u8>,
-    sent: usize,
-    began: bool,
+    pub out: Out,
     connecting: bool,
 }
 
 impl Link {
-    /// Takes a connection into the loop; `on` is called when it can be read or written.
-    pub fn new(
-        on_loop: &Loop,
-        stream: TcpStream,
-        on: impl FnMut(Readiness, &mut Server) + 'static,
-    ) -> io::Result<Link> {
+    fn of(stream: TcpStream, connecting: bool) -> Link {
+        let (stream, out) = (Rc::new(stream), Out::default());
+        Link { stream, token: None, input: Vec::new(), out, connecting }
+    }
+
+    /// Takes a connection that was accepted.
+    pub fn accepted(stream: TcpStream) -> io::Result<Link> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
-        Link::insert(on_loop, stream, false, on)
+        Ok(Link::of(stream, false))
     }
 
     /// Begins to connect; the first word that it can be written to says how that went.
-    pub fn dial(
-        on_loop: &Loop,
-        to: SocketAddr,
-        on: impl FnMut(Readiness, &mut Server) + 'static,
-    ) -> io::Result<Link> {
+    pub fn dial(to: SocketAddr) -> io::Result<Link> {
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         socket.set_tcp_nodelay(true)?;
@@ -59,25 +61,28 @@
             Err(e) if e.kind() == ErrorKind::WouldBlock || e.raw_os_error() == Some(115) => {}
             Err(e) => return Err(e),
         }
-        Link::insert(on_loop, socket.into(), true, on)
+        Ok(Link::of(socket.into(), true))
+    }
+
+    /// Hangs it in the set of streams that carry txns.
+    pub fn wait_in(&self, waiter: &Waiter, whose: Whose) -> io::Result<()> {
+        waiter.add(&*self.stream, whose)
     }
 
-    fn insert(
+    /// Gives it to calloop; `on` is called when it can be read or written.
+    pub fn on_loop(
+        &mut self,
         on_loop: &Loop,
-        stream: TcpStream,
-        connecting: bool,
         mut on: impl FnMut(Readiness, &mut Server) + 'static,
-    ) -> io::Result<Link> {
-        let stream = Rc::new(stream);
+    ) -> io::Result<()> {
         // Edge mode: each event is followed until the socket is dry or full, and interest never changes.
-        let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
-        let token = on_loop
-            .insert_source(source, move |ready, _, server| {
-                on(ready, server);
-                Ok(PostAction::Continue)
-            })
-            .map_err(|e| e.error)?;
-        Ok(Link { stream, token, input: Vec::new(), out: Vec::new(), sent: 0, began: false, connecting })
+        let source = Generic::new(self.stream.clone(), Interest::BOTH, Mode::Edge);
+        let followed = move |ready: Readiness, _: &mut _, server: &mut Server| {
+            on(ready, server);
+            Ok(PostAction::Continue)
+        };
+        self.token = Some(on_loop.insert_source(source, followed).map_err(|e| e.error)?);
+        Ok(())
     }
 
     /// Whether connecting has come to its end, well or not.
@@ -98,55 +103,48 @@
 
     /// Bytes that wait to be written.
     pub fn waiting(&self) -> usize {
-        self.out.len() - self.sent
+        self.out.waiting()
     }
 
     /// Whether any byte has been written.
     pub fn began(&self) -> bool {
-        self.began
-    }
-
-    /// Lets `write` add to what is to be written, and writes what can be.
-    pub fn say(&mut self, write: impl FnOnce(&mut Vec<u8>)) {
-        write(&mut self.out);
-        self.flush();
+        self.out.written() > 0
     }
 
-    /// An error shows at the next read; nothing is to be done about it here.
+    /// Writes what can be. An error shows at the next read; nothing is to be done about it here.
     pub fn flush(&mut self) {
-        while self.sent < self.out.len() && !self.connecting {
-            match (&*self.stream).write(&self.out[self.sent..]) {
-                Ok(n) if n > 0 => (self.sent, self.began) = (self.sent + n, true),
+        while self.out.waiting() > 0 && !self.connecting {
+            match self.out.write_to(&*self.stream) {
+                Ok(n) if n > 0 => {}
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 _ => break,
             }
         }
-        if self.sent == self.out.len() {
-            self.out.clear();
-            self.sent = 0;
-            // A burst's room is given back.
-            if self.out.capacity() > 4 * CHUNK {
-                self.out.shrink_to(CHUNK);
-            }
-        } else if self.sent > CHUNK {
-            self.out.drain(..self.sent);
-            self.sent = 0;
-        }
     }
 
-    /// Reads once, up to a chunk.
-    pub fn fill(&mut self) -> Fill {
-        let mut chunk = [0; CHUNK];
+    /// Reads once, into the front of `into`.
+    pub fn read(&mut self, into: &mut [u8]) -> Got {
         loop {
-            return match (&*self.stream).read(&mut chunk) {
-                Ok(0) => Fill::End,
-                Ok(n) => {
-                    self.input.extend(&chunk[..n]);
-                    Fill::More
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => Fill::Dry,
+            return match (&*self.stream).read(into) {
+                Ok(0) => Got::End,
+                Ok(n) => Got::Bytes(n),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => Got::Dry,
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                Err(_) => Fill::End,
+                Err(_) => Got::End,
+            };
+        }
+    }
+
+    /// Reads once, behind what is left, no further than the room that was made for it.
+    pub fn read_on(&mut self) -> Got {
+        loop {
+            let room = rustix::buffer::spare_capacity(&mut self.input);
+            return match rustix::io::read(&*self.stream, room) {
+                Ok(0) => Got::End,
+                Ok(n) => Got::Bytes(n),
+                Err(rustix::io::Errno::AGAIN) => Got::Dry,
+                Err(rustix::io::Errno::INTR) => continue,
+                Err(_) => Got::End,
             };
         }
     }
@@ -156,16 +154,20 @@
         let _ = self.stream.shutdown(Shutdown::Write);
     }
 
-    pub fn close(self, on_loop: &Loop) {
-        on_loop.remove(self.token);
+    /// What is still unsent goes out if it can.
+    pub fn close(mut self, on_loop: &Loop) {
+        self.flush();
+        if let Some(token) = self.token {
+            on_loop.remove(token);
+        }
     }
 }
 
 /// Cuts off the front what was taken, and gives back the room of what is gone.
 pub fn keep_rest(mut input: Vec<u8>, taken: usize) -> Vec<u8> {
-    if taken >= input.len() {
-        return Vec::new();
+    input.drain(..taken.min(input.len()));
+    if input.is_empty() {
+        input.shrink_to(KEPT);
     }
-    input.drain(..taken);
     input
 }
--- a/crates/aldercrank-server/src/net/members.rs
+++ b/crates/aldercrank-server/src/net/members.rs
@@ -58,10 +58,14 @@
     }
 
     fn report_ready(&mut self, id: ReportId) {
-        let mut net = self.net();
+        let mut chunk = self.chunk();
+        let net = self.net.clone();
+        let mut net = net.borrow_mut();
         let net = &mut *net;
         let Some(report) = net.reports.out.get_mut(id.0) else { return };
-        let Some(reply) = report.exchange.hear() else { return };
+        let heard = report.exchange.hear(&mut chunk);
+        self.chunk = chunk;
+        let Some(reply) = heard else { return };
         let word = report.fit;
         net.end_report(id.0);
         match reply.map(|r| r.status) {
--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -8,11 +8,13 @@
 mod members;
 mod pool;
 mod reload;
+mod wait;
 
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::core::{ConnId, Core, Ports, Reminder, Seat, RESULTS_SHARE};
 use crate::deadlines::Deadlines;
+use crate::payload::{Out, Payload};
 use crate::phase::Phase;
 use crate::pool::{Notice, Rid};
 use crate::{msgpack, pool as words};
@@ -20,12 +22,13 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction, RegistrationToken};
-use link::Loop;
+use link::{Loop, CHUNK};
 use std::cell::{RefCell, RefMut};
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
+use wait::{ready, Waiter, Whose};
 
 /// Of the sockets that are allowed: how many edge nodes may have, and how many calls. The rest is for the
 /// other links and the loop itself.
@@ -41,10 +44,13 @@
 const NAP: Duration = Duration::from_secs(1);
 
 /// Everything that has a deadline.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Due {
     Core(Reminder),
-    Idle(ConnId),
+    /// Some connection may have been idle for its time.
+    Idle,
+    /// A connection that was told to close.
+    Parted(ConnId),
     /// A connection owes a whole message.
     Whole(ConnId),
     Call(TxnId),
@@ -59,6 +65,7 @@
 /// What the sockets share.
 pub struct Net {
     on_loop: Loop,
+    waiter: Waiter,
     clock: Clock,
     deadlines: Deadlines<Due>,
     name: String,
@@ -81,8 +88,8 @@
 pub struct Ways(Rc<RefCell<Net>>);
 
 impl Net {
-    /// Writes an answer, with the free value where there is one.
-    fn answer(&mut self, seat: Seat, write: impl FnOnce(&mut Vec<u8>, Option<f64>)) {
+    /// Says an answer, with the free value where there is one.
+    fn answer(&mut self, seat: Seat, write: impl FnOnce(&mut Out, Option<&str>)) {
         self.edge.answer(seat, write);
         self.rest(seat.conn);
     }
@@ -94,29 +101,37 @@
 }
 
 impl Ports for Ways {
-    fn settle(&mut self, seat: Seat, result: &[u8]) {
-        self.0.borrow_mut().answer(seat, |out, hint| msgpack::settled(out, seat.call, result, hint));
+    fn settle(&mut self, seat: Seat, result: Payload) {
+        self.0.borrow_mut().answer(seat, |out, hint| {
+            out.words(|words| msgpack::settled(words, seat.call, result.bytes().len()));
+            out.result(&result);
+            out.words(|words| msgpack::settled_end(words, hint));
+        });
     }
     fn decline(&mut self, seat: Seat, back_in: Option<Duration>, last: bool) {
-        self.0.borrow_mut().answer(seat, |out, hint| msgpack::declined(out, seat.call, hint, back_in, last));
+        self.0.borrow_mut().answer(seat, |out, hint| {
+            out.words(|words| msgpack::declined(words, seat.call, hint, back_in, last));
+        });
     }
     fn void(&mut self, seat: Seat) {
-        self.0.borrow_mut().answer(seat, |out, hint| msgpack::voided(out, seat.call, hint));
+        self.0.borrow_mut().answer(seat, |out, hint| {
+            out.words(|words| msgpack::voided(words, seat.call, hint));
+        });
     }
-    fn spawn(&mut self, rid: Rid, product: &str, body: &[u8]) {
-        self.0.borrow_mut().pool.say(|out| words::spawn(out, rid, product, body));
+    fn spawn(&mut self, rid: Rid, product: &str, body: &Rc<[u8]>) {
+        self.0.borrow_mut().pool.spawn(rid, product, body);
     }
     fn suspend(&mut self, rid: Rid) {
-        self.0.borrow_mut().pool.say(|out| words::suspend(out, rid));
+        self.0.borrow_mut().pool.say(|words| words::suspend(words, rid));
     }
     fn supply(&mut self, rid: Rid, reply: &[u8]) {
-        self.0.borrow_mut().pool.say(|out| words::supply(out, rid, reply));
+        self.0.borrow_mut().pool.say(|words| words::supply(words, rid, reply));
     }
     fn pass(&mut self, rid: Rid, notice: Notice) {
-        self.0.borrow_mut().pool.say(|out| words::pass(out, rid, notice));
+        self.0.borrow_mut().pool.say(|words| words::pass(words, rid, notice));
     }
     fn poll(&mut self, tag: u64) {
-        self.0.borrow_mut().pool.say(|out| words::poll(out, tag));
+        self.0.borrow_mut().pool.say(|words| words::poll(words, tag));
     }
     fn call(&mut self, txn: TxnId, rid: Rid, body: &[u8], give_up: Duration) {
         self.0.borrow_mut().call(txn, rid, body, give_up);
@@ -134,7 +149,7 @@
         net.edge.close_idle(span, &mut net.deadlines);
     }
     fn advertise(&mut self, value: f64) {
-        self.0.borrow_mut().edge.hint = Some(value);
+        self.0.borrow_mut().edge.set_hint(value);
     }
     fn remind(&mut self, what: Reminder, after: Duration) {
         let mut net = self.0.borrow_mut();
@@ -156,6 +171,8 @@
     follows_health: bool,
     /// How long connections are read before what is due has its turn.
     slice: Duration,
+    /// What is read goes here first, whoever says it.
+    chunk: Vec<u8>,
     /// When this round's reading began.
     round: Option<Duration>,
     listener: Option<Rc<TcpListener>>,
@@ -173,6 +190,13 @@
         self.net.borrow().clock.now()
     }
 
+    /// The buffer for reading, taken until it is put back.
+    fn chunk(&mut self) -> Vec<u8> {
+        let mut chunk = std::mem::take(&mut self.chunk);
+        chunk.resize(CHUNK, 0);
+        chunk
+    }
+
     fn ways(&self) -> Ways {
         Ways(self.net.clone())
     }
@@ -204,7 +228,12 @@
                     core.reminded(now, reminder);
                 }
             }
-            Due::Idle(conn) => self.edge_idle(conn),
+            Due::Idle => {
+                let mut net = self.net();
+                let net = &mut *net;
+                net.edge.part_idle(now, &mut net.deadlines);
+            }
+            Due::Parted(conn) => self.edge_parted(conn),
             Due::Whole(conn) => self.edge_mute(conn),
             Due::Call(txn) => self.call_due(txn),
             Due::PoolDial => self.pool_dial(),
@@ -279,6 +308,9 @@
         if self.finished() {
             self.phase.done();
         }
+        let mut net = self.net();
+        net.edge.flush();
+        net.pool.flush();
     }
 
     fn nap(&self) -> Duration {
@@ -319,6 +351,7 @@
     let share = |share: f64| (config.sockets as f64 * share) as usize;
     let net = Net {
         on_loop,
+        waiter: Waiter::new(&events)?,
         clock: Clock::default(),
         deadlines: Deadlines::default(),
         name: config.name.clone(),
@@ -326,7 +359,7 @@
         index_addr: config.index,
         members_addr: config.members,
         edge: conns::Conns::at_most(share(EDGE_SHARE)),
-        pool: pool::PoolLink::default(),
+        pool: pool::PoolLink::at_most(config.result),
         calls: index::Calls::at_most(share(CALLS_SHARE)),
         reports: members::Reports::default(),
         again: VecDeque::new(),
@@ -346,6 +379,7 @@
         config,
         follows_health,
         slice: slack.mul_f64(SLICE_SHARE),
+        chunk: Vec::new(),
         round: None,
         listener: Some(listener),
         none_waited: Duration::ZERO,
@@ -353,9 +387,18 @@
     };
     log::info!("listening on {}", server.config.listen);
     server.pool_dial();
+    let mut come = Vec::new();
     while !server.phase.stopped() {
         let nap = server.nap();
-        events.dispatch(nap, &mut server)?;
+        server.net.borrow().waiter.wait(&mut come, nap)?;
+        for event in &come {
+            let ready = ready(event);
+            match ready.whose {
+                Whose::Pool(link) => server.pool_ready(link, ready),
+                Whose::Edge(conn) => server.edge_ready(ConnId(conn), ready),
+                Whose::Calloop => events.dispatch(Some(Duration::ZERO), &mut server)?,
+            }
+        }
         server.turn();
     }
     Ok(())
--- a/crates/aldercrank-server/src/net/pool.rs
+++ b/crates/aldercrank-server/src/net/pool.rs
@@ -1,10 +1,15 @@
 //! The link to the worker pool: held open, bound anew after each loss.
 
-use super::link::{keep_rest, Fill, Link};
+use super::link::{keep_rest, Got, Link};
+use super::wait::{Ready, Whose};
 use super::{Due, Server};
 use crate::core::Core;
+use crate::payload::{count, Payload, LARGE};
 use crate::pool::{self, Notice, Pool, Rid};
 use aldercrank::{Outcome, Value};
+use bytes::Bytes;
+use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Between tries to link.
@@ -14,7 +19,16 @@
 #[derive(Default)]
 pub struct PoolLink {
     link: Option<Link>,
+    /// Counts the links.
+    number: u32,
     reader: pool::Reader,
+    /// The other side has ended the link: it is read until that shows.
+    ended: bool,
+    /// The longest result; how long a large message that has come in part will be.
+    most: usize,
+    wants: Option<usize>,
+    /// Spawns that have been said, by where each begins in all that goes out, until they have begun to.
+    unsaid: VecDeque<(u64, Rid)>,
     /// The last notice that was taken.
     last: Notice,
     bound: bool,
@@ -25,20 +39,46 @@
 }
 
 impl PoolLink {
-    /// What is said while there is no link is lost; the core knows what it must say again.
+    pub fn at_most(most: usize) -> PoolLink {
+        PoolLink { most, reader: pool::Reader::at_most(most), ..PoolLink::default() }
+    }
+
+    /// What is said while there is no link is lost; the core knows what it must say again. It is written at
+    /// the end of the turn.
     pub fn say(&mut self, write: impl FnOnce(&mut Vec<u8>)) {
         if let Some(link) = self.link.as_mut().filter(|_| self.bound) {
-            link.say(write);
+            link.out.words(write);
+        }
+    }
+
+    pub fn spawn(&mut self, rid: Rid, product: &str, body: &Rc<[u8]>) {
+        let Some(link) = self.link.as_mut().filter(|_| self.bound) else { return };
+        self.unsaid.push_back((link.out.end(), rid));
+        link.out.words(|words| pool::spawn(words, rid, product, body.len()));
+        link.out.body(body);
+        link.out.words(pool::after);
+    }
+
+    pub fn flush(&mut self) {
+        let Some(link) = self.link.as_mut() else { return };
+        link.flush();
+        let written = link.out.written();
+        while self.unsaid.front().is_some_and(|(from, _)| *from < written) {
+            self.unsaid.pop_front();
         }
     }
 }
 
-struct Hear<'a>(&'a mut Server);
+/// What the pool says, on the link at one moment; with the buffer, where that can be kept.
+struct Hear<'a> {
+    server: &'a mut Server,
+    whole: Option<&'a Bytes>,
+}
 
 impl Hear<'_> {
     /// Whether a notice is new: replayed ones are taken once.
     fn fresh(&mut self, notice: Notice) -> bool {
-        let mut net = self.0.net();
+        let mut net = self.server.net();
         let fresh = notice > net.pool.last;
         net.pool.last = net.pool.last.max(notice);
         fresh
@@ -48,20 +88,22 @@
 impl Pool for Hear<'_> {
     fn bound(&mut self, cold: bool, age: Duration) {
         {
-            let mut net = self.0.net();
+            let mut net = self.server.net();
             let net = &mut *net;
             net.pool.bound = true;
             if let Some(old) = net.pool.parting.take() {
                 old.close(&net.on_loop);
             }
         }
-        self.0.bound(cold, age);
+        self.server.bound(cold, age);
     }
 
     fn finished(&mut self, notice: Notice, rid: Rid, how: Outcome, took: Duration, result: &[u8]) {
         if self.fresh(notice) {
-            let now = self.0.now();
-            if let Some(core) = &mut self.0.core {
+            let now = self.server.now();
+            let shared = self.whole.filter(|_| result.len() >= LARGE).map(|whole| whole.slice_ref(result));
+            let result = shared.as_ref().map_or(Payload::Passing(result), Payload::Shared);
+            if let Some(core) = &mut self.server.core {
                 core.run_ended(now, rid, how, took, result);
             }
         }
@@ -69,8 +111,8 @@
 
     fn blocked(&mut self, notice: Notice, rid: Rid, body: &[u8]) {
         if self.fresh(notice) {
-            let now = self.0.now();
-            if let Some(core) = &mut self.0.core {
+            let now = self.server.now();
+            if let Some(core) = &mut self.server.core {
                 core.call_needed(now, rid, notice, body);
             }
         }
@@ -81,16 +123,16 @@
     }
 
     fn polled(&mut self, tag: u64, gauges: &[f64]) {
-        let now = self.0.now();
-        if let Some(core) = &mut self.0.core {
+        let now = self.server.now();
+        if let Some(core) = &mut self.server.core {
             core.polled(now, tag, gauges);
         }
     }
 
     fn unknown(&mut self, command: &str, id: &str) {
         log::info!("the pool knows no {id:?} to {command:?}");
-        let now = self.0.now();
-        if let (Some(core), "spawn", Some(rid)) = (&mut self.0.core, command, Rid::new(id)) {
+        let now = self.server.now();
+        if let (Some(core), "spawn", Some(rid)) = (&mut self.server.core, command, Rid::new(id)) {
             core.run_unknown(now, rid);
         }
     }
@@ -106,12 +148,11 @@
         if net.pool.link.is_some() || self.phase.stopped() {
             return;
         }
-        let to = net.pool_addr;
-        let link = Link::dial(&net.on_loop, to, |ready, server: &mut Server| {
-            if ready.writable {
-                server.pool_writable();
-            }
-            server.pool_readable();
+        net.pool.number = net.pool.number.wrapping_add(1);
+        let (to, number) = (net.pool_addr, net.pool.number);
+        let link = Link::dial(to).and_then(|link| {
+            link.wait_in(&net.waiter, Whose::Pool(number))?;
+            Ok(link)
         });
         match link {
             Ok(link) => net.pool.link = Some(link),
@@ -123,16 +164,31 @@
         }
     }
 
+    /// Something has come up on a link; one that is no more the link has nothing to say.
+    pub fn pool_ready(&mut self, number: u32, ready: Ready) {
+        if self.net().pool.number != number {
+            return;
+        }
+        self.net().pool.ended |= ready.ended;
+        if ready.writable {
+            self.pool_writable();
+        }
+        if ready.readable {
+            self.pool_readable();
+        }
+    }
+
     fn pool_writable(&mut self) {
         let mut net = self.net();
         let last = net.pool.last;
         let Some(link) = &mut net.pool.link else { return };
         if !link.connecting() {
-            return link.flush();
+            return net.pool.flush();
         }
         match link.connected() {
             Ok(()) => {
-                link.say(|out| pool::bind(out, last));
+                link.out.words(|words| pool::bind(words, last));
+                link.flush();
                 drop(net);
                 self.phase.linked();
             }
@@ -144,35 +200,91 @@
     }
 
     pub fn pool_readable(&mut self) {
-        for _ in 0..TURNS {
-            let fill = match &mut self.net().pool.link {
-                Some(link) if !link.connecting() => link.fill(),
-                _ => return,
+        let mut chunk = self.chunk();
+        let mut turns = 0;
+        let lost = loop {
+            let (got, room) = {
+                let mut net = self.net();
+                let wants = net.pool.wants;
+                match &mut net.pool.link {
+                    // A large message goes where it stays, and not beyond its end.
+                    Some(link) if !link.connecting() && wants.is_some() => {
+                        let room = link.input.capacity() - link.input.len();
+                        (link.read_on(), room)
+                    }
+                    Some(link) if !link.connecting() => (link.read(&mut chunk), chunk.len()),
+                    _ => break false,
+                }
             };
-            match fill {
-                Fill::More => self.pool_heard(),
-                Fill::Dry => return,
-                Fill::End => return self.pool_lost("it has closed"),
+            turns += 1;
+            match got {
+                Got::Bytes(n) => {
+                    let direct = self.net().pool.wants.is_some();
+                    self.pool_heard(if direct { &[] } else { &chunk[..n] });
+                    // Less than was asked for is all there is; an end that comes later has an event of its own.
+                    if n < room && !self.net().pool.ended {
+                        break false;
+                    }
+                }
+                Got::Dry => break false,
+                Got::End => break true,
             }
+            if turns == TURNS {
+                self.net().pool_again = true;
+                break false;
+            }
+        };
+        self.chunk = chunk;
+        if lost {
+            self.pool_lost("it has closed");
         }
-        self.net().pool_again = true;
     }
 
-    fn pool_heard(&mut self) {
-        let (input, mut reader) = {
+    /// Hears what has come: in `bytes`, or, for a large message, already behind what was there.
+    fn pool_heard(&mut self, bytes: &[u8]) {
+        let (mut input, mut reader) = {
             let mut net = self.net();
+            let net = &mut *net;
             let Some(link) = &mut net.pool.link else { return };
+            if net.pool.wants.is_some_and(|wants| link.input.len() < wants) {
+                return;
+            }
             (std::mem::take(&mut link.input), std::mem::take(&mut net.pool.reader))
         };
-        let mut taken = 0;
-        while let Some(n) = reader.read(&input[taken..], &mut Hear(self)) {
+        let (mut taken, pieces) = (0, !input.is_empty());
+        let whole = self.net().pool.wants.take().map(|_| Bytes::from(std::mem::take(&mut input)));
+        if pieces && whole.is_none() {
+            count(bytes.len());
+            input.extend_from_slice(bytes);
+        }
+        let heard = match &whole {
+            Some(whole) => whole,
+            None if pieces => &input[..],
+            None => bytes,
+        };
+        while let Some(n) = reader.read(&heard[taken..], &mut Hear { server: self, whole: whole.as_ref() }) {
             taken += n;
         }
+        let rest = &heard[taken..];
+        // Room is made for a message whose length is told, within the bound, once it is known to be large.
+        let wants = reader.wants(rest).filter(|wants| *wants > rest.len().max(LARGE));
         let mut net = self.net();
-        net.pool.reader = reader;
-        if let Some(link) = &mut net.pool.link {
-            link.input = keep_rest(input, taken);
-        }
+        let net = &mut *net;
+        (net.pool.reader, net.pool.wants) = (reader, wants);
+        let Some(link) = &mut net.pool.link else { return };
+        link.input = match wants {
+            Some(wants) => {
+                let mut large = Vec::with_capacity(wants);
+                large.extend_from_slice(rest);
+                count(rest.len());
+                large
+            }
+            None if pieces && whole.is_none() => keep_rest(input, taken),
+            None => {
+                count(rest.len());
+                rest.to_vec()
+            }
+        };
     }
 
     /// The pool is to be reached elsewhere. What it has said here is heard first; the rest follows on the new
@@ -182,6 +294,7 @@
         {
             let mut net = self.net();
             let net = &mut *net;
+            net.pool.flush();
             let link = net.pool.link.take_if(|link| !link.connecting());
             if let Some(link) = &link {
                 link.hush();
@@ -196,14 +309,17 @@
 
     fn pool_lost(&mut self, why: &str) {
         log::warn!("the link to the pool is lost: {why}");
+        let (now, unsaid);
         {
             let mut net = self.net();
             let net = &mut *net;
             if let Some(link) = net.pool.link.take() {
                 link.close(&net.on_loop);
             }
-            let now = net.clock.now();
-            net.pool.reader = pool::Reader::default();
+            now = net.clock.now();
+            net.pool.reader = pool::Reader::at_most(net.pool.most);
+            (net.pool.wants, net.pool.ended) = (None, false);
+            unsaid = std::mem::take(&mut net.pool.unsaid);
             if std::mem::take(&mut net.pool.bound) {
                 net.pool.lost = Some(now);
             }
@@ -211,7 +327,7 @@
             net.deadlines.set(Due::PoolDial, at);
         }
         if let Some(core) = &mut self.core {
-            core.pool_lost();
+            core.pool_lost(now, unsaid.into_iter().map(|(_, rid)| rid));
         }
     }
 
--- a/crates/aldercrank-server/src/pool.rs
+++ b/crates/aldercrank-server/src/pool.rs
@@ -1,14 +1,17 @@
 //! The worker pool's lines, apart from sockets: one method of `Pool` for each thing that it says.
 
 use aldercrank::Outcome;
+use std::io::Write;
 use std::time::Duration;
 
 /// The longest line, and the longest bytes after one, that are taken.
 const LINE: usize = 16 * 1024;
-const BYTES: usize = 256 * 1024;
+pub const BYTES: usize = 256 * 1024;
+/// Words of a line that are looked at.
+const WORDS: usize = 16;
 
 /// A txn's id as the edge and the worker pool write it.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Rid([u8; 16]);
 
 impl Rid {
@@ -46,16 +49,46 @@
 }
 
 /// Reads what comes, however it is cut.
-#[derive(Default)]
 pub struct Reader {
     /// In a line that is too long to be kept.
     skipping: bool,
+    /// The longest bytes after a line.
+    most: usize,
+}
+
+impl Default for Reader {
+    fn default() -> Self {
+        Reader::at_most(BYTES)
+    }
+}
+
+/// A line's words, without its end.
+fn words<'a>(line: &'a str, into: &mut [&'a str; WORDS]) -> usize {
+    let all = line.split(' ').filter(|w| !w.is_empty());
+    into.iter_mut().zip(all).map(|(to, word)| *to = word).count()
+}
+
+/// The length that a line says of the bytes behind it.
+fn length(line: &str) -> Option<usize> {
+    let mut words = line.split(' ').filter(|w| !w.is_empty());
+    let carries = matches!(words.next(), Some("finished" | "blocked"));
+    words.next_back().filter(|_| carries).and_then(|w| w.parse().ok())
 }
 
 impl Reader {
+    pub fn at_most(most: usize) -> Reader {
+        Reader { skipping: false, most }
+    }
+
+    /// How long the message at the front will be once it is whole, where that is known.
+    pub fn wants(&self, buf: &[u8]) -> Option<usize> {
+        let end = memchr::memmem::find(buf, b"\r\n").filter(|end| !self.skipping && *end <= LINE)?;
+        length(std::str::from_utf8(&buf[..end]).ok()?).filter(|n| *n <= self.most).map(|n| end + n + 4)
+    }
+
     /// Reads one message off the front. Gives its length, or nothing while it is not whole.
     pub fn read(&mut self, buf: &[u8], pool: &mut impl Pool) -> Option<usize> {
-        let Some(end) = buf.windows(2).position(|two| two == b"\r\n") else {
+        let Some(end) = memchr::memmem::find(buf, b"\r\n") else {
             if buf.len() <= LINE {
                 return None;
             }
@@ -68,16 +101,16 @@
             return Some(end + 2);
         }
         let line = String::from_utf8_lossy(&buf[..end]);
-        let words: Vec<&str> = line.split(' ').filter(|w| !w.is_empty()).collect();
-        let carries = matches!(words.first(), Some(&"finished" | &"blocked"));
-        let length = words.last().filter(|_| carries).and_then(|w| w.parse::<usize>().ok());
-        let length = length.filter(|n| *n <= BYTES);
+        let mut all = [""; WORDS];
+        let n = words(&line, &mut all);
+        let words = &all[..n];
+        let length = length(&line).filter(|n| *n <= self.most);
         let after = match length {
             Some(n) if buf.len() < end + 2 + n + 2 => return None,
             Some(n) => &buf[end + 2..end + 2 + n],
             None => &[],
         };
-        if say(&words, length.map(|_| after), pool).is_none() {
+        if say(words, length.map(|_| after), pool).is_none() {
             pool.nonsense(&line.chars().take(80).collect::<String>());
         }
         Some(end + 2 + length.map_or(0, |n| n + 2))
@@ -100,8 +133,9 @@
         }
         ["blocked", n, id, _] => pool.blocked(notice(n)?, Rid::new(id)?, after?),
         ["polled", tag, gauges @ ..] => {
-            let gauges: Vec<f64> = gauges.iter().map(|g| g.parse().unwrap_or_default()).collect();
-            pool.polled(tag.parse().ok()?, &gauges);
+            let mut values = [0.0; WORDS];
+            values.iter_mut().zip(gauges.iter()).for_each(|(to, g)| *to = g.parse().unwrap_or_default());
+            pool.polled(tag.parse().ok()?, &values[..gauges.len()]);
         }
         ["unknown", command, id, ..] => pool.unknown(command, id),
         ["unknown", command] => pool.unknown(command, ""),
@@ -122,29 +156,33 @@
 }
 
 pub fn bind(into: &mut Vec<u8>, last: Notice) {
-    into.extend(format!("bind {}\r\n", last.0).bytes());
+    let _ = write!(into, "bind {}\r\n", last.0);
 }
 
-pub fn spawn(into: &mut Vec<u8>, rid: Rid, product: &str, body: &[u8]) {
-    into.extend(format!("spawn {rid} {product} {}\r\n", body.len()).bytes());
-    into.extend(body);
-    into.extend(b"\r\n");
+/// The line of a spawn; its body follows, and then `after`.
+pub fn spawn(into: &mut Vec<u8>, rid: Rid, product: &str, length: usize) {
+    let _ = write!(into, "spawn {rid} {product} {length}\r\n");
+}
+
+/// What stands behind bytes.
+pub fn after(into: &mut Vec<u8>) {
+    into.extend_from_slice(b"\r\n");
 }
 
 pub fn suspend(into: &mut Vec<u8>, rid: Rid) {
-    into.extend(format!("suspend {rid}\r\n").bytes());
+    let _ = write!(into, "suspend {rid}\r\n");
 }
 
 pub fn supply(into: &mut Vec<u8>, rid: Rid, reply: &[u8]) {
-    into.extend(format!("supply {rid} {}\r\n", reply.len()).bytes());
+    let _ = write!(into, "supply {rid} {}\r\n", reply.len());
     into.extend(reply);
     into.extend(b"\r\n");
 }
 
 pub fn pass(into: &mut Vec<u8>, rid: Rid, notice: Notice) {
-    into.extend(format!("pass {rid} {}\r\n", notice.0).bytes());
+    let _ = write!(into, "pass {rid} {}\r\n", notice.0);
 }
 
 pub fn poll(into: &mut Vec<u8>, tag: u64) {
-    into.extend(format!("poll {tag}\r\n").bytes());
+    let _ = write!(into, "poll {tag}\r\n");
 }
--- a/crates/aldercrank-server/tests/suite/codecs.rs
+++ b/crates/aldercrank-server/tests/suite/codecs.rs
@@ -166,9 +166,11 @@
 #[test]
 fn answers_carry_the_result_as_it_came_and_the_fields_asked_for() {
     let (mut plain, mut full) = (Vec::new(), Vec::new());
-    msgpack::settled(&mut plain, CallNo(7), &[1, 2, 255], None);
+    msgpack::settled(&mut plain, CallNo(7), 3);
+    plain.extend([1, 2, 255]);
+    msgpack::settled_end(&mut plain, None);
     assert_eq!(plain, [0x94, 1, 7, 0xc0, 0x92, 0xc4, 3, 1, 2, 255, 0x80]);
-    msgpack::declined(&mut full, CallNo(300), Some(0.85), Some(Duration::from_micros(1200)), true);
+    msgpack::declined(&mut full, CallNo(300), Some("0.85"), Some(Duration::from_micros(1200)), true);
     let mut expected = vec![0x94, 1, 0xcd, 1, 44, 0x92, 0xaa];
     expected.extend(b"Overloaded\x83\xa4hint\xa40.85\xa7backoff\xa12\xa5final\xa11\xc0");
     assert_eq!(full, expected);
@@ -292,7 +294,9 @@
     );
     assert!(report.contains("Content-Length: 15\r\n"));
     let mut said = Vec::new();
-    pool::spawn(&mut said, rid, "p", b"\0\r\n");
+    pool::spawn(&mut said, rid, "p", 3);
+    said.extend(b"\0\r\n");
+    pool::after(&mut said);
     pool::pass(&mut said, rid, Notice(8));
     assert_eq!(said, format!("spawn {RID} p 3\r\n\0\r\n\r\npass {RID} 8\r\n").into_bytes());
     assert!(Rid::new("9b1f03aa5c7e2d4g").is_none() && Rid::new("9b").is_none());
--- a/crates/aldercrank-server/tests/suite/core.rs
+++ b/crates/aldercrank-server/tests/suite/core.rs
@@ -4,6 +4,7 @@
 use aldercrank_server::core::{Ask, CallNo, ConnId, Core, Ports, Reminder, Seat};
 use aldercrank_server::deadlines::Deadlines;
 use aldercrank_server::keys::Mark;
+use aldercrank_server::payload::Payload;
 use aldercrank_server::pool::{Notice as Number, Rid};
 use quickcheck::{Gen, QuickCheck, TestResult};
 use std::cell::RefCell;
@@ -155,7 +156,8 @@
 }
 
 impl Ports for Fake {
-    fn settle(&mut self, seat: Seat, bytes: &[u8]) {
+    fn settle(&mut self, seat: Seat, bytes: Payload) {
+        let bytes = bytes.bytes();
         let mut w = self.0.borrow_mut();
         w.answer(seat, false);
         let seen = w.seen[&seat].clone();
@@ -172,7 +174,7 @@
     fn void(&mut self, seat: Seat) {
         self.0.borrow_mut().answer(seat, false);
     }
-    fn spawn(&mut self, rid: Rid, product: &str, body: &[u8]) {
+    fn spawn(&mut self, rid: Rid, product: &str, body: &Rc<[u8]>) {
         self.say(Said::Spawn(rid, product.to_string(), body.to_vec()));
     }
     fn suspend(&mut self, rid: Rid) {
@@ -297,7 +299,7 @@
             match next {
                 Err(tag) => self.core.polled(now, tag, &[0.5, 1.0]),
                 Ok((_, Notice::Ended(rid, how, bytes))) => {
-                    self.core.run_ended(now, rid, how, MS * 100, &bytes)
+                    self.core.run_ended(now, rid, how, MS * 100, Payload::Passing(&bytes))
                 }
                 Ok((n, Notice::Blocked(rid, body))) => self.core.call_needed(now, rid, Number(n), &body),
             }
@@ -306,18 +308,24 @@
 
     /// The link breaks: of what was said, the pool has read the first `read`; what it answered last is lost.
     fn lose(&mut self, read: usize) {
+        self.lose_unwritten(read, usize::MAX);
+    }
+
+    /// The same, and all but the first `written` of the rest had not begun to be written.
+    fn lose_unwritten(&mut self, read: usize, written: usize) {
         for _ in 0..read {
             let said = self.world.0.borrow_mut().flight.pop_front();
             let Some(said) = said else { break };
             self.world.0.borrow_mut().deliver(said);
         }
-        {
+        let unwritten: Vec<Rid> = {
             let mut w = self.world.0.borrow_mut();
             w.up = false;
-            w.flight.clear();
             w.polled.clear();
-        }
-        self.core.pool_lost();
+            let rest = w.flight.drain(..).skip(written);
+            rest.filter_map(|said| if let Said::Spawn(rid, ..) = said { Some(rid) } else { None }).collect()
+        };
+        self.core.pool_lost(self.now(), unwritten);
     }
 
     fn bind(&mut self) {
@@ -418,7 +426,7 @@
             }
         }
         12 => play.reply(which, [Completed, Completed, Errored, Saturated, Severed][usize::from(much) % 5]),
-        13 => play.lose(usize::from(which % 4)),
+        13 => play.lose_unwritten(usize::from(which % 4), usize::from(which / 4 % 5)),
         14 => play.bind(),
         15 => {
             let seat = play.world.0.borrow().seen.keys().nth(usize::from(which)).copied();
@@ -494,6 +502,31 @@
     }
 }
 
+#[test]
+fn of_a_batch_cut_off_midway_what_had_not_begun_to_be_written_is_said_again() {
+    let mut play = Play::new();
+    let seats = [1, 2, 3].map(|token| play.read(Some(token), MS * 1500, MS));
+    // The first was read, the second lost on the way, the third never written.
+    play.lose_unwritten(1, 1);
+    play.bind();
+    play.flow();
+    assert_eq!([1, 2, 3].map(|token| play.began(token)), [1, 0, 1]);
+    play.pass(MS * 2000);
+    play.flow();
+    assert_eq!(seats.map(|seat| play.answers(seat)), [1, 1, 1]);
+    assert!(play.world.0.borrow().broken.is_empty());
+
+    // One whose caller has gone by then is not said at all.
+    let before = play.core.in_hand();
+    let gone = play.read(Some(4), MS * 1500, MS);
+    play.core.caller_gone(play.now(), gone);
+    play.world.0.borrow_mut().seen.get_mut(&gone).unwrap().gone = true;
+    play.lose_unwritten(0, 0);
+    play.bind();
+    play.flow();
+    assert_eq!((play.began(4), play.core.in_hand()), (0, before));
+}
+
 #[test]
 fn what_was_never_said_is_said_once_the_link_is_back_unless_it_is_over() {
     let mut play = Play::new();
@@ -557,7 +590,7 @@
     assert_eq!((play.answers(unknown), play.core.in_hand()), (1, 1));
     // Notices for ids that were never heard of change nothing.
     let stranger = Rid::new("ffffffffffffffff").unwrap();
-    play.core.run_ended(play.now(), stranger, Outcome::Completed, MS, b"x");
+    play.core.run_ended(play.now(), stranger, Outcome::Completed, MS, Payload::Passing(b"x"));
     play.core.call_needed(play.now(), stranger, Number(99), b"x");
     play.core.call_ended(play.now(), TxnId(4_000_000_000), Outcome::Completed, b"x");
     assert_eq!((play.answers(good), play.core.owed()), (0, 1));
--- a/crates/aldercrank-server/tests/suite/tables.rs
+++ b/crates/aldercrank-server/tests/suite/tables.rs
@@ -5,6 +5,7 @@
 use aldercrank_server::deadlines::Deadlines;
 use aldercrank_server::keys::{Fate, Keys, Mark};
 use aldercrank_server::logger::Logger;
+use aldercrank_server::payload::Payload;
 use aldercrank_server::phase::Phase;
 use aldercrank_server::slots::Slots;
 use std::time::Duration;
@@ -46,13 +47,13 @@
     let (key, _) = keys.keep(&mark, a, S * 10).unwrap();
     assert_eq!(keys.repeated(&mark, S * 11, S * 11), None, "came after the window");
     assert!(keys.started(&mark, a).is_none());
-    keys.ended(&mark, a, Some(b"12345678"));
+    keys.ended(&mark, a, Some(Payload::Passing(b"12345678")));
     assert_eq!(keys.repeated(&mark, S * 9, S * 12), Some(a), "came within the window, read late");
     assert_eq!(keys.fate(&mark), Fate::Settled(b"12345678".as_slice().into()));
     // Another's result takes the room; the entry stays, so nothing runs again.
     keys.keep(&other, c, S * 10).unwrap();
     keys.started(&other, c);
-    keys.ended(&other, c, Some(b"123"));
+    keys.ended(&other, c, Some(Payload::Passing(b"123")));
     assert_eq!((keys.fate(&mark), keys.repeated(&mark, S, S)), (Fate::Lost, Some(a)));
     // One read after the window runs anew; the entry names it alone.
     assert_eq!(keys.keep(&mark, b, S * 30).unwrap().1, None);
