Laboratory begun: load tool, stand-ins, what a txn costs, and a budget that guards it

Need: the ordinary path had been made cheaper by a call tracer and a probe; nothing kept it so, and the example's toy answered a closed question in one file.

--- /dev/null
+++ b/crates/aldercrank-lab/src/main.rs
@@ -0,0 +1,189 @@
+//! The laboratory's command line: `aldercrank-lab load`, `cost`, `check`.
+
+mod budget;
+mod cost;
+mod load;
+mod peer;
+mod plot;
+mod server;
+mod stand;
+mod trace;
+
+use bpaf::{construct, long, positional, OptionParser, Parser};
+use cost::Case;
+use server::{Build, Setup};
+use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Counts what the counted server allocates; the laboratory's own processes pay a little for it.
+#[global_allocator]
+static HEAP: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+#[derive(Clone, Debug)]
+enum Command {
+    Load(load::Load),
+    Cost {
+        program: Option<PathBuf>,
+        against: Option<PathBuf>,
+        rounds: usize,
+        plot: Option<PathBuf>,
+        json: bool,
+    },
+    Check {
+        write: bool,
+        name: String,
+    },
+    Counted {
+        config: String,
+    },
+}
+
+fn commands() -> OptionParser<Command> {
+    let file = |name: &'static str, help: &'static str| long(name).help(help).argument::<PathBuf>("FILE");
+    let program = file("program", "the server's program; the one beside this by default").optional();
+    let rate = long("rate").help("first tries a second").argument("N").fallback(40u32);
+    let seconds = long("seconds").help("how long to send").argument("N").fallback(10u32);
+    let connections = long("connections").help("connections to send on").argument("N").fallback(4usize);
+    let cores = long("cores").help("cores that runs share").argument("N").fallback(4usize);
+    let work = long("work-ms").help("how long a run takes on a core").argument("MS").fallback(50u64);
+    let json = long("json").help("one JSON document in place of the table").switch();
+    let load = construct!(load::Load { program, rate, seconds, connections, cores, work, json });
+    let load = construct!(Command::Load(load))
+        .to_options()
+        .descr("Start a server with stand-ins round it, send an open-loop load and count the answers")
+        .footer("Example: aldercrank-lab load --rate 160\nExit: 0 all answered once, 1 not so, 2 it could not be run")
+        .command("load");
+    let program =
+        file("program", "measure this program; heap and copies are counted in our own only").optional();
+    let against = file("against", "an earlier build, measured in turns with ours").optional();
+    let rounds = long("rounds").help("rounds of each case; the least counts").argument("N").fallback(3usize);
+    let plot = file("plot", "draw the cost as things grow, as SVG").optional();
+    let json = long("json").help("one JSON document in place of the table").switch();
+    let cost = construct!(Command::Cost { program, against, rounds, plot, json })
+        .to_options()
+        .descr("Say what one txn of each kind costs the server")
+        .footer("Example: aldercrank-lab cost --plot cost.svg\nExit: 0 all measured, 1 some were not, 2 none could be")
+        .command("cost");
+    let write = long("write").help("write the budget anew from what is measured").switch();
+    let name = positional::<String>("NAME").help("the check: cost");
+    let check = construct!(Command::Check { write, name })
+        .to_options()
+        .descr("Hold what is measured against its bounds")
+        .footer("Exit: 0 all bounds hold, 1 one does not, 2 it could not be measured")
+        .command("check");
+    let config = positional::<String>("CONFIG");
+    let counted = construct!(Command::Counted { config }).to_options().command("counted").hide();
+    construct!([load, cost, check, counted]).to_options().descr("aldercrank's laboratory, on loopback")
+}
+
+/// What is measured against an earlier build: the name, how many are in hand, and open at once.
+const PAIRED: [(&str, usize, usize); 4] = [
+    ("settled, 1 open", 0, 1),
+    ("settled, 32 open", 0, 32),
+    ("settled, 100 in hand", 100, 1),
+    ("settled, 5000 in hand", 5000, 1),
+];
+
+/// Serves in this process, and says on each line of standard input what has been counted.
+fn counted(config: String) -> Result<(), String> {
+    std::thread::spawn(|| {
+        for _ in std::io::stdin().lines() {
+            let heap = HEAP.stats();
+            let allocations = heap.allocations + heap.reallocations;
+            let copied = aldercrank_server::payload::copied();
+            println!("{allocations} {} {copied}", heap.bytes_allocated);
+        }
+        // Whoever asked is gone.
+        std::process::exit(0);
+    });
+    let read = move || aldercrank_server::config::Config::load(Some(&config));
+    read().and_then(|c| aldercrank_server::net::serve(c, read).map_err(|e| e.to_string()))
+}
+
+fn cost(
+    build: Build,
+    against: Option<PathBuf>,
+    rounds: usize,
+    plot: Option<PathBuf>,
+    json: bool,
+) -> std::io::Result<bool> {
+    let all: Vec<Case> = cost::ordinary().into_iter().chain(cost::growth(true)).collect();
+    let (mut rows, mut left) = (Vec::new(), Vec::new());
+    for case in all {
+        eprintln!("measuring {} ...", case.name);
+        // An earlier build may not know what a case needs; the others can be measured all the same.
+        match cost::measure(&build, &case, rounds) {
+            Ok(cost) => rows.push((case, cost)),
+            Err(e) => left.push(format!("{}: not measured: {e}", case.name)),
+        }
+    }
+    if json {
+        println!("{}", budget::json(&rows));
+    } else {
+        budget::table(&rows);
+    }
+    if let Some(file) = plot {
+        plot::growth(&file, &rows).map_err(std::io::Error::other)?;
+        println!("drawn: {}", file.display());
+    }
+    left.iter().for_each(|line| eprintln!("{line}"));
+    let whole = left.is_empty();
+    let Some(old) = against else { return Ok(whole) };
+    for (name, held, open) in PAIRED {
+        let case = Case { held, open, txns: 320, ..Case::new(name, cost::Kind::Settled) };
+        let own = Build::Program(server::beside());
+        let (a, b, ratio) = cost::paired(&own, &Build::Program(old.clone()), &case, 5)?;
+        println!("{name}: {a:?} against {b:?} on a core for each txn, ratio {ratio:.3}");
+    }
+    Ok(whole)
+}
+
+/// Thousands of connections need as many descriptors; the server inherits what is allowed here.
+fn raise_descriptors() {
+    use nix::sys::resource::{getrlimit, setrlimit, Resource};
+    if let Ok((_, hard)) = getrlimit(Resource::RLIMIT_NOFILE) {
+        let _ = setrlimit(Resource::RLIMIT_NOFILE, hard, hard);
+    }
+}
+
+fn main() -> ExitCode {
+    raise_descriptors();
+    let run = match commands().run() {
+        Command::Load(load) => load::run(&load),
+        Command::Cost { program, against, rounds, plot, json } => {
+            let build = program.map_or(Build::Counted, Build::Program);
+            cost(build, against, rounds.max(1), plot, json)
+        }
+        Command::Check { write, name } if name == "cost" => budget::check(write),
+        Command::Check { name, .. } => {
+            Err(std::io::Error::other(format!("no check is named {name}; there is: cost")))
+        }
+        Command::Counted { config } => match counted(config) {
+            Ok(()) => Ok(true),
+            Err(why) => Err(std::io::Error::other(why)),
+        },
+    };
+    match run {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(e) => {
+            eprintln!("aldercrank-lab: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// For the load: a server of so many cores, as `examples/config.json` has it.
+pub fn loaded(cores: usize) -> Setup {
+    Setup {
+        cores: cores as f64,
+        memory_kb: 20_000.0 * cores as f64,
+        slack: Duration::from_millis(60),
+        give_up: Duration::from_secs(3),
+        index_pause: Duration::from_millis(20),
+        result_kb: 256,
+    }
+}
--- /dev/null
+++ b/crates/aldercrank-lab/src/server.rs
@@ -0,0 +1,166 @@
+//! The server under test: its configuration, its process, and what can be read of it from outside.
+
+use crate::peer::Edge;
+use crate::stand::{self, Pool};
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+/// What is measured.
+#[derive(Clone, Debug)]
+pub enum Build {
+    /// This repository's server in a process of the laboratory's, with its heap and copies counted.
+    Counted,
+    /// A program that serves a configuration, such as an earlier build.
+    Program(PathBuf),
+}
+
+/// What the server is told.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    pub cores: f64,
+    pub memory_kb: f64,
+    /// Answers' slack; half of it is the module's tick.
+    pub slack: Duration,
+    pub give_up: Duration,
+    pub index_pause: Duration,
+    pub result_kb: usize,
+}
+
+/// What has been counted since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub allocations: u64,
+    pub bytes: u64,
+    pub copied: u64,
+}
+
+pub struct Server {
+    child: Child,
+    counts: Option<BufReader<ChildStdout>>,
+    pub pool: Pool,
+    pub edge: SocketAddr,
+    config: PathBuf,
+}
+
+/// Each run has a loopback address of its own, so that a port that is free for a moment is no other's.
+fn address() -> String {
+    static RUNS: AtomicU32 = AtomicU32::new(1);
+    let (pid, run) = (std::process::id() % 60_000, RUNS.fetch_add(1, Ordering::Relaxed) % 250 + 1);
+    format!("127.{}.{}.{run}", 16 + pid / 250, 1 + pid % 250)
+}
+
+impl Server {
+    pub fn start(build: &Build, setup: &Setup) -> io::Result<Server> {
+        let ip = address();
+        let pool = Pool::start(&ip)?;
+        let index = stand::http(&ip, setup.index_pause, stand::FOUND)?;
+        let members = stand::http(&ip, Duration::ZERO, stand::LISTED)?;
+        let edge = TcpListener::bind((&ip[..], 0))?.local_addr()?;
+        let us = |span: Duration| span.as_micros() as u64;
+        let product = |name: &str, effect: &str| {
+            serde_json::json!({"name": name, "effect": effect, "goal_time": us(setup.give_up / 2),
+                "give_up": us(setup.give_up), "points": 1.0, "late_worth": 0.2,
+                "window": us(setup.give_up * 2)})
+        };
+        let config = serde_json::json!({
+            "name": "lab", "listen": edge, "pool": pool.addr, "members": members, "index": index,
+            "seed": "1", "stop_ms": 3000,
+            "limits": {"cores": 1.0, "memory_mb": 1024, "sockets": 8192, "result_kb": setup.result_kb},
+            "settings": {
+                "family_info": {"cores": setup.cores, "memory_kb": setup.memory_kb, "run_factor": 2.0,
+                    "key_kb": 0.1, "cold": false, "advert": "share_of", "halt": "abort", "calls_out": 500.0,
+                    "calls_over": 5_000_000, "linger": 0, "fresh_for": 0, "idle": 600_000_000, "upstreams": 1,
+                    "class_calls": [true, false], "worth_without": [0.0, 0.0],
+                    "meters": ["cpu_busy", "runnable"]},
+                "limits": {"retry_after": true, "max_retry_after": 1_000_000},
+                "rules": {"answer_slack": us(setup.slack), "cold_from": 0.25, "warm_after": 1_000_000,
+                    "fall_multiple": 5.0, "stop_sending_within": 1_000_000},
+                "profiles": [product("map-extract", "retryable"), product("licence-buy", "dedup")]}});
+        let file = format!("aldercrank-lab-{}-{}.json", std::process::id(), edge.port());
+        let path = std::env::temp_dir().join(file);
+        std::fs::write(&path, config.to_string())?;
+        let mut command = match build {
+            Build::Counted => Command::new(std::env::current_exe()?),
+            Build::Program(program) => Command::new(program),
+        };
+        command.arg(if matches!(build, Build::Counted) { "counted" } else { "serve" }).arg(&path);
+        let mut child = command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn()?;
+        let stdout = child.stdout.take().map(BufReader::new);
+        let counts = stdout.filter(|_| matches!(build, Build::Counted));
+        let mut server = Server { child, counts, pool, edge, config: path };
+        server.ready()?;
+        Ok(server)
+    }
+
+    /// Waits until it answers, for ten seconds.
+    fn ready(&mut self) -> io::Result<()> {
+        let until = Instant::now() + Duration::from_secs(10);
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait()? {
+                let why = format!("the server has ended with {status}: try check-config on its file");
+                return Err(io::Error::other(why));
+            }
+            // Bound to its pool it takes work; before that it declines all.
+            if Edge::connect(self.edge).is_ok() && self.pool.linked() {
+                std::thread::sleep(Duration::from_millis(100));
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        Err(io::Error::other("the server does not listen after ten seconds"))
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Time on a core so far, of the thread that serves.
+    pub fn cpu(&self) -> io::Result<Duration> {
+        let path = format!("/proc/{0}/task/{0}/schedstat", self.pid());
+        let text = std::fs::read_to_string(path)?;
+        let ns = text.split_whitespace().next().and_then(|n| n.parse().ok());
+        ns.map(Duration::from_nanos).ok_or_else(|| io::Error::other("no time in schedstat"))
+    }
+
+    /// The most memory that it has had resident, in KB.
+    pub fn peak_kb(&self) -> io::Result<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.pid()))?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kb = line.and_then(|l| l.split_whitespace().next()?.parse().ok());
+        kb.ok_or_else(|| io::Error::other("no peak in status"))
+    }
+
+    /// What it has counted; nothing for a program that does not count.
+    pub fn counts(&mut self) -> io::Result<Option<Counts>> {
+        let Some(from) = &mut self.counts else { return Ok(None) };
+        if let Some(to) = &mut self.child.stdin {
+            to.write_all(b"\n")?;
+        }
+        let mut line = String::new();
+        from.read_line(&mut line)?;
+        let n: Vec<u64> = line.split_whitespace().filter_map(|n| n.parse().ok()).collect();
+        match n[..] {
+            [allocations, bytes, copied] => Ok(Some(Counts { allocations, bytes, copied })),
+            _ => Err(io::Error::other("the counted server has ended")),
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        // A tracer may have taken its end already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+/// The program beside this one.
+pub fn beside() -> PathBuf {
+    let own = std::env::current_exe().unwrap_or_default();
+    own.parent().unwrap_or(Path::new(".")).join("aldercrank")
+}
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -9,7 +9,7 @@
 use crate::keys::Mark;
 use crate::msgpack::{self, Edge, Fields};
 use crate::payload::count;
-use crate::pool::Rid;
+use crate::pool::{Rid, BYTES};
 use aldercrank::{Arrival, CallerId};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
@@ -25,8 +25,10 @@
 const STUCK: Duration = Duration::from_secs(1);
 /// Connections that are looked at to make room for another.
 const LOOKS: usize = 8;
-/// What the system may hold for it besides.
+/// What the system may hold for it besides; more where results may be longer than usual, of that a part. Less
+/// than two segments would wait for an acknowledgement each.
 const SENDING: usize = 32 * 1024;
+const SENDING_PART: usize = 4;
 
 /// What an edge node says, on one connection, at one moment.
 struct Hear<'a> {
@@ -145,7 +147,9 @@
 
     fn take(&mut self, stream: TcpStream, dry: Duration) {
         let now = self.now();
-        if let Err(e) = socket2::SockRef::from(&stream).set_send_buffer_size(SENDING) {
+        let longer = self.config.result.saturating_sub(BYTES);
+        let sending = SENDING.max(longer / SENDING_PART);
+        if let Err(e) = socket2::SockRef::from(&stream).set_send_buffer_size(sending) {
             log::debug!("a connection keeps its buffer: {e}");
         }
         let conn = match Link::accepted(stream) {
--- a/crates/aldercrank-server/src/payload.rs
+++ b/crates/aldercrank-server/src/payload.rs
@@ -2,10 +2,10 @@
 //! where it is not; every copy in this package goes through here, so that the copies can be counted.
 
 use bytes::Bytes;
-use std::cell::Cell;
 use std::collections::VecDeque;
 use std::io::{self, IoSlice, Write};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// From this size on a result goes on by reference: the buffer that it came in is kept until it is written.
 /// Below, a copy costs less than keeping a whole buffer for it.
@@ -15,17 +15,16 @@
 /// An empty buffer keeps this much room at most.
 const KEPT: usize = 4 * 1024;
 
-thread_local! {
-    static COPIED: Cell<u64> = const { Cell::new(0) };
-}
+/// Where two servers share a process, of both.
+static COPIED: AtomicU64 = AtomicU64::new(0);
 
-/// Payload bytes that this thread has copied so far.
+/// Payload bytes that have been copied so far.
 pub fn copied() -> u64 {
-    COPIED.get()
+    COPIED.load(Ordering::Relaxed)
 }
 
 pub fn count(bytes: usize) {
-    COPIED.set(COPIED.get() + bytes as u64);
+    COPIED.fetch_add(bytes as u64, Ordering::Relaxed);
 }
 
 /// A result on its way through: in a buffer that is used again, or in one that can be kept.
