Tests of the ordinary path's hard cases: pieces, abandonment, interrupts in one segment

Need: the new path writes gathered pieces and keeps running sums; each could lose or repeat bytes, or leak.

Change: tests that fail without their answer: a 250 kB result cut anywhere with another behind it; all open calls interrupted in one segment; a body at the limit and one over; 100,000 txns abandoned running, at a call, as they end and held, after which every table is as it was; what is to be written beside a plain model, on generated steps.

--- a/crates/aldercrank-server/src/core.rs
+++ b/crates/aldercrank-server/src/core.rs
@@ -396,6 +396,11 @@
         self.brain.host.seats.len()
     }
 
+    /// Txns that a slot is taken for, and marks that are kept, those past their window counted in.
+    pub fn in_tables(&self) -> (usize, usize) {
+        (self.brain.host.txns.len(), self.brain.host.keys.len())
+    }
+
     fn at(&mut self, now: Duration) -> &mut Hands<P> {
         self.brain.host.now = self.brain.host.now.max(now);
         &mut self.brain.host
--- a/crates/aldercrank-server/src/keys.rs
+++ b/crates/aldercrank-server/src/keys.rs
@@ -114,6 +114,14 @@
         self.entries.len() >= ENTRIES
     }
 
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     pub fn names(&mut self, mark: &Mark, txn: TxnId) -> bool {
         self.entry(mark).is_some_and(|e| e.holder == txn || e.ran == Some(txn))
     }
--- a/crates/aldercrank-server/tests/suite/core.rs
+++ b/crates/aldercrank-server/tests/suite/core.rs
@@ -700,3 +700,73 @@
         assert_eq!(play.world.0.borrow().good, good);
     }
 }
+
+/// Takes what is said and forgets it, but for the calls, whose txns are needed.
+#[derive(Default)]
+struct Deaf {
+    calls: Vec<TxnId>,
+}
+
+impl Ports for Deaf {
+    fn settle(&mut self, _: Seat, _: Payload) {}
+    fn decline(&mut self, _: Seat, _: Option<Duration>, _: bool) {}
+    fn void(&mut self, _: Seat) {}
+    fn spawn(&mut self, _: Rid, _: &str, _: &Rc<[u8]>) {}
+    fn suspend(&mut self, _: Rid) {}
+    fn supply(&mut self, _: Rid, _: &[u8]) {}
+    fn pass(&mut self, _: Rid, _: Number) {}
+    fn poll(&mut self, _: u64) {}
+    fn call(&mut self, txn: TxnId, _: Rid, _: &[u8], _: Duration) {
+        self.calls.push(txn);
+    }
+    fn hang_up(&mut self, _: TxnId) {}
+    fn health(&mut self, _: bool) {}
+    fn close_idle(&mut self, _: Duration) {}
+    fn advertise(&mut self, _: f64) {}
+    fn remind(&mut self, _: Reminder, _: Duration) {}
+}
+
+#[test]
+fn a_hundred_thousand_abandoned_at_every_stage_leave_every_table_as_it_was() {
+    let mut core = Core::start(settings(), Duration::ZERO, 4000, Deaf::default());
+    core.pool_bound(Duration::ZERO);
+    core.polled(Duration::ZERO, 1, &[0.5, 0.0]);
+    let mut now = Duration::ZERO;
+    for n in 1..=100_000u32 {
+        now += MS;
+        let rid = Rid::new(&format!("{n:016x}")).unwrap();
+        let seat = Seat { conn: ConnId(n), call: CallNo(1) };
+        let expiry = Some(now + MS * 2500);
+        let arrival = Arrival { product: "p0", expiry, memory_kb: 10.0, rank: 0.9, ..Arrival::default() };
+        core.txn_read(now, seat, Ask { rid, mark: None, arrival, unread: MS, body: b"x" });
+        // Gone while it runs, while its call is out, as it ends, or by its connection.
+        match n % 4 {
+            0 => core.caller_gone(now, seat),
+            1 => {
+                core.call_needed(now, rid, Number(u64::from(n)), b"ask");
+                core.conn_lost(now, seat.conn);
+            }
+            2 => core.conn_lost(now, seat.conn),
+            _ => {}
+        }
+        core.run_ended(now, rid, Outcome::Completed, MS, Payload::Passing(b"r"));
+        core.caller_gone(now, seat);
+        assert_eq!((core.in_hand(), core.owed(), core.in_tables()), (0, 0, (0, 0)), "after {n}");
+    }
+    // And while they are held: more than may run at once, all of one connection.
+    for n in 0..500u32 {
+        let rid = Rid::new(&format!("{:016x}", 200_000 + n)).unwrap();
+        let seat = Seat { conn: ConnId(7), call: CallNo(n) };
+        let expiry = Some(now + MS * 2500);
+        let arrival = Arrival { product: "p0", expiry, memory_kb: 10.0, rank: 0.9, ..Arrival::default() };
+        core.txn_read(now, seat, Ask { rid, mark: None, arrival, unread: MS, body: b"x" });
+    }
+    assert!(core.in_hand() > 8);
+    core.conn_lost(now, ConnId(7));
+    // What runs is the pool's to end; nothing is held, and nothing is owed.
+    for n in 0..500u32 {
+        let rid = Rid::new(&format!("{:016x}", 200_000 + n)).unwrap();
+        core.run_ended(now, rid, Outcome::Recalled, MS, Payload::Passing(b""));
+    }
+    assert_eq!((core.in_hand(), core.owed(), core.in_tables()), (0, 0, (0, 0)));
+}
--- a/crates/aldercrank-server/tests/suite/sockets.rs
+++ b/crates/aldercrank-server/tests/suite/sockets.rs
@@ -706,3 +706,88 @@
     }
     assert!(began.elapsed() < Duration::from_millis(1900));
 }
+
+#[test]
+fn a_large_result_that_comes_and_goes_in_pieces_is_whole_and_what_stands_behind_it_too() {
+    let mut program = Program::start(|_| None);
+    let mut pool = program.serving();
+    let mut edge = program.connect();
+    edge.ask(1, "map", &rid(1), None, b"a");
+    edge.ask(2, "map", &rid(2), None, b"b");
+    pool.next();
+    pool.next();
+    let large: Vec<u8> = (0..250_000u32).map(|i| (i.wrapping_mul(2_654_435_761) >> 24) as u8).collect();
+    let mut said = format!("finished 1 {} ok 20.5 {}\r\n", rid(1), large.len()).into_bytes();
+    said.extend(&large);
+    said.extend(format!("\r\nfinished 2 {} ok 20.5 5\r\nsmall\r\n", rid(2)).bytes());
+    // Cut within the first line, the result, its end and the second line.
+    let mut from = 0;
+    for to in [9, 40, 100_000, said.len() - 66, said.len() - 30, said.len()] {
+        pool.reader.get_mut().write_all(&said[from..to]).unwrap();
+        std::thread::sleep(Duration::from_millis(15));
+        from = to;
+    }
+    // The reader has let the socket run full by now.
+    std::thread::sleep(Duration::from_millis(50));
+    let size = (large.len() as u32).to_be_bytes();
+    let all =
+        edge.hears(&[&[0x94, 1, 1, 0xc0, 0x92, 0xc6], &size, &large, &[0x94, 1, 2, 0xc0, 0x92], b"small"]);
+    assert_eq!(all.windows(3).filter(|w| *w == [0x94, 1, 1]).count(), 1);
+    // One over the bound is nobody's result: its txn is not settled by it.
+    edge.ask(3, "map", &rid(3), None, b"c");
+    pool.next();
+    pool.say(&format!("finished 3 {} ok 20.5 300000\r\n", rid(3)));
+    edge.ask(4, "map", &rid(4), None, b"d");
+    pool.next();
+    pool.finish(4, &rid(4), b"after");
+    let all = edge.hears(&[&[0x94, 1, 4, 0xc0, 0x92], b"after"]);
+    assert!(!all.windows(4).any(|w| *w == [0x94, 1, 3, 0xc0]));
+}
+
+#[test]
+fn interrupts_of_all_open_calls_in_one_segment_stop_every_run_with_one_word_each() {
+    let mut program = Program::start(|_| None);
+    let mut pool = program.serving();
+    let mut edge = program.connect();
+    for n in 1..=32 {
+        edge.ask(n, "map", &rid(n), None, b"x");
+    }
+    (1..=20).for_each(|_| assert_eq!(pool.next().0[0], "spawn"));
+    let all: Vec<u8> = (1..=32).flat_map(interrupt).collect();
+    edge.0.write_all(&all).unwrap();
+    let mut stopped = std::collections::BTreeSet::new();
+    while stopped.len() < 20 {
+        let (words, _) = pool.next();
+        if words[0] == "suspend" {
+            assert!(stopped.insert(words[1].clone()), "{words:?} twice");
+            pool.say(&format!("finished {} {} halted 1 0\r\n\r\n", stopped.len(), words[1]));
+        }
+    }
+    // The connection has room for as many again, and each number is free.
+    edge.ask(1, "map", &rid(100), None, b"x");
+    let words = loop {
+        let (words, _) = pool.next();
+        if words[1] == rid(100) {
+            break words;
+        }
+    };
+    assert_eq!(words[0], "spawn");
+    pool.finish(100, &rid(100), b"done");
+    let all = edge.hears(&[b"done"]);
+    assert_eq!(all.windows(8).filter(|w| *w == b"Internal").count(), 32);
+}
+
+#[test]
+fn a_body_at_the_limit_is_run_as_it_came_and_one_over_it_ends_the_connection() {
+    let mut program = Program::start(|_| None);
+    let mut pool = program.serving();
+    let mut edge = program.connect();
+    let body: Vec<u8> = (0..2048u32).map(|i| (i % 251) as u8).collect();
+    edge.ask(1, "map", &rid(1), None, &body);
+    assert_eq!(pool.next().1, body);
+    pool.finish(1, &rid(1), &body);
+    edge.hears(&[&body]);
+    edge.ask(2, "map", &rid(2), None, &vec![1; 2049]);
+    let all = edge.closes();
+    assert!(all.windows(8).any(|w| w == b"Internal"));
+}
--- a/crates/aldercrank-server/tests/suite/tables.rs
+++ b/crates/aldercrank-server/tests/suite/tables.rs
@@ -5,9 +5,10 @@
 use aldercrank_server::deadlines::Deadlines;
 use aldercrank_server::keys::{Fate, Keys, Mark};
 use aldercrank_server::logger::Logger;
-use aldercrank_server::payload::Payload;
+use aldercrank_server::payload::{Out, Payload};
 use aldercrank_server::phase::Phase;
 use aldercrank_server::slots::Slots;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 const S: Duration = Duration::from_secs(1);
@@ -124,3 +125,66 @@
     let var = |name: &str| (name == "ROUTER_NAME").then(|| "n9".to_string());
     assert_eq!(Config::parse(&good.replacen("\"name\"", "\"title\"", 1), var).ok().unwrap().name, "n9");
 }
+
+/// Takes as many bytes as it is told next, and none where that is 0.
+struct Slow {
+    takes: VecDeque<usize>,
+    taken: Vec<u8>,
+}
+
+impl std::io::Write for &mut Slow {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let most = self.takes.pop_front().filter(|n| *n > 0).ok_or(std::io::ErrorKind::WouldBlock)?;
+        let n = most.min(bytes.len());
+        self.taken.extend(&bytes[..n]);
+        Ok(n)
+    }
+    fn write_vectored(&mut self, all: &[std::io::IoSlice]) -> std::io::Result<usize> {
+        let joined: Vec<u8> = all.iter().flat_map(|slice| slice.iter().copied()).collect();
+        self.write(&joined)
+    }
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn what_is_to_be_written_goes_out_in_order_and_once_however_little_is_taken() {
+    for seed in 0..200u64 {
+        let mut state = seed.wrapping_mul(2).wrapping_add(1);
+        let mut draw = |n: u64| {
+            state = state.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            (state >> 33) % n
+        };
+        let (mut out, mut plain) = (Out::default(), Vec::<u8>::new());
+        let mut slow = Slow { takes: VecDeque::new(), taken: Vec::new() };
+        for step in 0..400u64 {
+            let most = if draw(9) == 0 { 9000 } else { 90 };
+            let bytes = vec![step as u8; draw(most) as usize];
+            match draw(5) {
+                0 => out.words(|words| words.extend(&bytes)),
+                1 => out.body(&bytes.as_slice().into()),
+                2 => out.result(&Payload::Passing(&bytes)),
+                3 => out.result(&Payload::Shared(&bytes.clone().into())),
+                _ => {
+                    slow.takes.extend([draw(5) as usize * 700, draw(40) as usize]);
+                    while let Ok(n) = out.write_to(&mut slow) {
+                        if n == 0 {
+                            break;
+                        }
+                    }
+                    continue;
+                }
+            }
+            plain.extend(&bytes);
+            assert_eq!(out.end(), plain.len() as u64);
+        }
+        assert_eq!(out.written(), slow.taken.len() as u64);
+        assert_eq!(out.waiting(), plain.len() - slow.taken.len());
+        slow.takes = std::iter::repeat_n(1_000_000, 1000).collect();
+        while out.waiting() > 0 {
+            out.write_to(&mut slow).unwrap();
+        }
+        assert!(slow.taken == plain, "seed {seed}");
+    }
+}
