--- a/crates/aldercrank-lab/src/cost.rs
+++ b/crates/aldercrank-lab/src/cost.rs
@@ -353,6 +353,25 @@
     Ok(calls.filter(|(_, n)| *n >= 0.005).collect())
 }
 
+/// Instructions a txn, by valgrind's callgrind: of a run with three times as many txns less those of one, so that
+/// starting and ending are not in it.
+pub fn instructions(case: &Case) -> io::Result<f64> {
+    let (few, many) = (case.txns, case.txns * 3);
+    let total = |txns: usize| -> io::Result<f64> {
+        let file = std::env::temp_dir().join(format!("aldercrank-lab-{}.callgrind", std::process::id()));
+        let case = Case { txns, ..case.clone() };
+        let mut play = Play::begin(&Build::Instructions(file.clone()), &case)?;
+        play.round()?;
+        play.edges.clear();
+        play.server.end()?;
+        let text = std::fs::read_to_string(&file)?;
+        let _ = std::fs::remove_file(&file);
+        let line = text.lines().find_map(|line| line.strip_prefix("totals:"));
+        line.and_then(|n| n.trim().parse().ok()).ok_or_else(|| io::Error::other("callgrind counted nothing"))
+    };
+    Ok((total(many)? - total(few)?) / (many - few) as f64)
+}
+
 /// Two builds in turns on the same case: the median of the ratios of their times on a core, round by round.
 pub fn paired(new: &Build, old: &Build, case: &Case, rounds: usize) -> io::Result<(Duration, Duration, f64)> {
     let (mut a, mut b) = (Play::begin(new, case)?, Play::begin(old, case)?);
