Idle connections stand in rows: they add nothing to a txn, however many there are

Change: two rows (those that have never said anything whole, and the others), each in the order in which its connections fell quiet; a txn moves its connection to the end. One that says its first whole message counts as quiet from then on.

--- a/crates/aldercrank-server/src/net/conns.rs
+++ b/crates/aldercrank-server/src/net/conns.rs
@@ -8,8 +8,6 @@
 use crate::msgpack;
 use crate::payload::Out;
 use crate::slots::{Slot, Slots};
-use aldercrank::tree::Tree;
-use std::ops::Bound;
 use std::time::Duration;
 
 /// How long the other side has to close what was told to close.
@@ -38,6 +36,8 @@
     pub(super) unread: bool,
     /// Something has been said that is not written yet.
     dirty: bool,
+    /// Its neighbours in the row of idle ones, while nothing is open on it.
+    idle: Option<Neighbours>,
     /// When its last call was answered.
     quiet: Duration,
     /// Whether it has ever said a whole message; and until when it owes one.
@@ -50,24 +50,30 @@
 impl Conn {
     pub(super) fn new(link: Link, now: Duration, dry: Duration) -> Conn {
         let (calls, state, owes) = (Vec::new(), State::Open, Some(now + WHOLE));
-        let (queued, ended, unread, dirty) = (false, false, false, false);
-        Conn { link, calls, state, queued, ended, unread, dirty, quiet: now, spoken: false, owes, dry }
+        let (queued, ended, unread, dirty, idle) = (false, false, false, false, None);
+        Conn { link, calls, state, queued, ended, unread, dirty, idle, quiet: now, spoken: false, owes, dry }
     }
+}
 
-    /// Where it stands among the idle ones.
-    fn place(&self, conn: ConnId) -> Place {
-        (self.spoken, self.quiet, conn)
-    }
+#[derive(Clone, Copy, Debug, Default)]
+struct Neighbours {
+    before: Option<ConnId>,
+    after: Option<ConnId>,
 }
 
-/// Whether it has ever said a whole message, and since when nothing is open on it.
-type Place = (bool, Duration, ConnId);
+/// Idle connections in the order in which they fell quiet. Each joins at the end, so this costs the same
+/// however many there are.
+#[derive(Default)]
+struct Row {
+    first: Option<ConnId>,
+    last: Option<ConnId>,
+}
 
 #[derive(Default)]
 pub struct Conns {
     conns: Slots<Conn>,
-    /// Those with nothing open, the first to go first.
-    idle_ones: Tree<Place>,
+    /// Those with nothing open: that have never said anything whole, and that have.
+    rows: [Row; 2],
     most: usize,
     idle: Option<Duration>,
     /// The free value as it is written.
@@ -103,11 +109,15 @@
     pub(super) fn heard(&mut self, conn: ConnId, now: Duration, whole: bool, deadlines: &mut Deadlines<Due>) {
         let Some(c) = self.conns.get_mut(Slot(conn.0)) else { return };
         if whole && !c.spoken {
-            if self.idle_ones.remove(&c.place(conn)).is_some() {
-                self.idle_ones.insert((true, c.quiet, conn), ());
+            // It changes rows, and is quiet from now on, having just spoken.
+            let idle = self.leave_row(conn);
+            let Some(c) = self.conns.get_mut(Slot(conn.0)) else { return };
+            (c.spoken, c.quiet) = (true, now);
+            if idle {
+                self.join_row(conn);
             }
-            c.spoken = true;
         }
+        let Some(c) = self.conns.get_mut(Slot(conn.0)) else { return };
         let owes = match c.link.input.is_empty() {
             true if c.spoken => None,
             false if whole || c.owes.is_none() => Some(now + WHOLE),
@@ -124,16 +134,46 @@
 
     /// The one that has had nothing open for longest, those first that have never said anything whole.
     pub(super) fn idlest(&self) -> Option<ConnId> {
-        self.idle_ones.first().map(|((_, _, conn), _)| conn)
+        self.rows.iter().find_map(|row| row.first)
     }
 
     /// The one of all that has had nothing open for longest, and since when.
     fn quietest(&self) -> Option<(Duration, ConnId)> {
-        let firsts = [false, true].map(|spoken| {
-            let from = (spoken, Duration::ZERO, ConnId(0));
-            self.idle_ones.next(Bound::Included(&from)).map(|((_, quiet, conn), _)| (quiet, conn))
-        });
-        firsts.into_iter().flatten().min()
+        let firsts = self.rows.iter().filter_map(|row| row.first);
+        firsts.filter_map(|conn| self.conns.get(Slot(conn.0)).map(|c| (c.quiet, conn))).min()
+    }
+
+    fn join_row(&mut self, conn: ConnId) {
+        let Some(c) = self.conns.get_mut(Slot(conn.0)) else { return };
+        let row = &mut self.rows[usize::from(c.spoken)];
+        let before = row.last.replace(conn);
+        c.idle = Some(Neighbours { before, after: None });
+        match before {
+            Some(before) => self.neighbour(before, |n| n.after = Some(conn)),
+            None => row.first = Some(conn),
+        }
+    }
+
+    /// Whether it stood in one.
+    fn leave_row(&mut self, conn: ConnId) -> bool {
+        let Some(c) = self.conns.get_mut(Slot(conn.0)) else { return false };
+        let Some(Neighbours { before, after }) = c.idle.take() else { return false };
+        let row = &mut self.rows[usize::from(c.spoken)];
+        if before.is_none() {
+            row.first = after;
+        }
+        if after.is_none() {
+            row.last = before;
+        }
+        before.into_iter().for_each(|b| self.neighbour(b, |n| n.after = after));
+        after.into_iter().for_each(|a| self.neighbour(a, |n| n.before = before));
+        true
+    }
+
+    fn neighbour(&mut self, conn: ConnId, change: impl FnOnce(&mut Neighbours)) {
+        if let Some(n) = self.conns.get_mut(Slot(conn.0)).and_then(|c| c.idle.as_mut()) {
+            change(n);
+        }
     }
 
     pub fn is_empty(&self) -> bool {
@@ -154,10 +194,8 @@
         if c.calls.contains(&call) {
             return false;
         }
-        if c.calls.is_empty() {
-            self.idle_ones.remove(&c.place(conn));
-        }
         c.calls.push(call);
+        self.leave_row(conn);
         true
     }
 
@@ -192,10 +230,11 @@
     /// After an answer: what is idle now closes when its time comes.
     pub fn rest(&mut self, conn: ConnId, now: Duration, deadlines: &mut Deadlines<Due>) {
         let Some(c) = self.conns.get_mut(Slot(conn.0)).filter(|c| c.calls.is_empty()) else { return };
-        self.idle_ones.remove(&c.place(conn));
         c.quiet = now;
-        self.idle_ones.insert(c.place(conn), ());
-        match c.state {
+        let state = c.state;
+        self.leave_row(conn);
+        self.join_row(conn);
+        match state {
             State::Open => {
                 if let Some(idle) = self.idle.filter(|_| deadlines.get(Due::Idle).is_none()) {
                     deadlines.set(Due::Idle, now + idle);
@@ -226,7 +265,7 @@
             // One that is told already has a deadline of its own.
             let told = self.get(conn).is_none_or(|c| c.state == State::Closing);
             if told {
-                self.forget_idle(conn);
+                self.leave_row(conn);
             } else {
                 self.part(conn, now, deadlines);
             }
@@ -234,12 +273,6 @@
         self.next_idle(deadlines);
     }
 
-    fn forget_idle(&mut self, conn: ConnId) {
-        if let Some(c) = self.conns.get_mut(Slot(conn.0)) {
-            self.idle_ones.remove(&c.place(conn));
-        }
-    }
-
     /// Tells the other side that nothing new is to come; it closes once all is answered. Unlike a close by
     /// us this can't cross a call.
     pub fn part(&mut self, conn: ConnId, now: Duration, deadlines: &mut Deadlines<Due>) {
@@ -258,7 +291,7 @@
     pub(super) fn drop(&mut self, conn: ConnId, on_loop: &Loop, deadlines: &mut Deadlines<Due>) {
         deadlines.clear(Due::Parted(conn));
         deadlines.clear(Due::Whole(conn));
-        self.forget_idle(conn);
+        self.leave_row(conn);
         if let Some(c) = self.conns.remove(Slot(conn.0)) {
             c.link.close(on_loop);
         }
