--- a/crates/aldercrank-lab/src/main.rs
+++ b/crates/aldercrank-lab/src/main.rs
@@ -112,6 +112,24 @@
     read().and_then(|c| aldercrank_server::net::serve(c, read).map_err(|e| e.to_string()))
 }
 
+/// Measures what can be. An earlier build may not know what a case needs; the others count all the same.
+fn measure(
+    build: &Build,
+    cases: Vec<Case>,
+    rounds: usize,
+    left: &mut Vec<String>,
+) -> Vec<(Case, cost::Cost)> {
+    let mut rows = Vec::new();
+    for case in cases {
+        eprintln!("measuring {} ...", case.name);
+        match cost::measure(build, &case, rounds) {
+            Ok(cost) => rows.push((case, cost)),
+            Err(e) => left.push(format!("{}: not measured: {e}", case.name)),
+        }
+    }
+    rows
+}
+
 fn cost(
     build: Build,
     against: Option<PathBuf>,
@@ -120,22 +138,19 @@
     json: bool,
 ) -> std::io::Result<bool> {
     let all: Vec<Case> = cost::ordinary().into_iter().chain(cost::growth(true)).collect();
-    let (mut rows, mut left) = (Vec::new(), Vec::new());
-    for case in all {
-        eprintln!("measuring {} ...", case.name);
-        // An earlier build may not know what a case needs; the others can be measured all the same.
-        match cost::measure(&build, &case, rounds) {
-            Ok(cost) => rows.push((case, cost)),
-            Err(e) => left.push(format!("{}: not measured: {e}", case.name)),
-        }
-    }
+    let mut left = Vec::new();
+    let rows = measure(&build, all, rounds, &mut left);
     if json {
         println!("{}", budget::json(&rows));
     } else {
         budget::table(&rows);
     }
     if let Some(file) = plot {
-        plot::growth(&file, &rows).map_err(std::io::Error::other)?;
+        let earlier = match &against {
+            Some(old) => measure(&Build::Program(old.clone()), cost::growth(true), rounds, &mut left),
+            None => Vec::new(),
+        };
+        plot::growth(&file, &rows, &earlier).map_err(std::io::Error::other)?;
         println!("drawn: {}", file.display());
     }
     left.iter().for_each(|line| eprintln!("{line}"));
