Service file begun: our own settings as KDL, checked whole, each fault by line and column

Need: the program's own settings have no place apart from the platform's JSON; the longest result had crept into that.

Its first setting is `results { longest-kb N }`. A field of the JSON configuration of the wrong kind is said to be that, and not to be missing.

--- a/crates/aldercrank-lab/src/cost.rs
+++ b/crates/aldercrank-lab/src/cost.rs
@@ -137,7 +137,7 @@
         slack: Duration::from_secs(40),
         give_up: WHOLE_TIME,
         index_pause: Duration::ZERO,
-        result_kb: 4096,
+        result_kb: (case.result > 256 * 1024).then_some(4096),
     }
 }
 
--- a/crates/aldercrank-lab/src/main.rs
+++ b/crates/aldercrank-lab/src/main.rs
@@ -39,6 +39,7 @@
         name: String,
     },
     Counted {
+        service: Option<String>,
         config: String,
     },
 }
@@ -82,7 +83,8 @@
         .footer("Exit: 0 all bounds hold, 1 one does not, 2 it could not be measured")
         .command("check");
     let config = positional::<String>("CONFIG");
-    let counted = construct!(Command::Counted { config }).to_options().command("counted").hide();
+    let service = long("service").argument::<String>("FILE").optional();
+    let counted = construct!(Command::Counted { service, config }).to_options().command("counted").hide();
     construct!([load, cost, instructions, check, counted])
         .to_options()
         .descr("aldercrank's laboratory, on loopback")
@@ -97,7 +99,7 @@
 ];
 
 /// Serves in this process, and says on each line of standard input what has been counted.
-fn counted(config: String) -> Result<(), String> {
+fn counted(config: String, service: Option<String>) -> Result<(), String> {
     std::thread::spawn(|| {
         for _ in std::io::stdin().lines() {
             let heap = HEAP.stats();
@@ -108,7 +110,7 @@
         // Whoever asked is gone.
         std::process::exit(0);
     });
-    let read = move || aldercrank_server::config::Config::load(Some(&config));
+    let read = move || aldercrank_server::config::Config::load(Some(&config), service.as_deref());
     read().and_then(|c| aldercrank_server::net::serve(c, read).map_err(|e| e.to_string()))
 }
 
@@ -209,7 +211,7 @@
         Command::Check { name, .. } => {
             Err(std::io::Error::other(format!("no check is named {name}; there is: cost")))
         }
-        Command::Counted { config } => match counted(config) {
+        Command::Counted { service, config } => match counted(config, service) {
             Ok(()) => Ok(true),
             Err(why) => Err(std::io::Error::other(why)),
         },
@@ -232,6 +234,6 @@
         slack: Duration::from_millis(60),
         give_up: Duration::from_secs(3),
         index_pause: Duration::from_millis(20),
-        result_kb: 256,
+        result_kb: None,
     }
 }
--- a/crates/aldercrank-lab/src/server.rs
+++ b/crates/aldercrank-lab/src/server.rs
@@ -32,7 +32,8 @@
     pub slack: Duration,
     pub give_up: Duration,
     pub index_pause: Duration,
-    pub result_kb: usize,
+    /// The longest result, where it is not the server's own bound.
+    pub result_kb: Option<usize>,
 }
 
 /// What has been counted since the start.
@@ -74,7 +75,7 @@
         let config = serde_json::json!({
             "name": "lab", "listen": edge, "pool": pool.addr, "members": members, "index": index,
             "seed": "1", "stop_ms": 3000,
-            "limits": {"cores": 1.0, "memory_mb": 1024, "sockets": 8192, "result_kb": setup.result_kb},
+            "limits": {"cores": 1.0, "memory_mb": 1024, "sockets": 8192},
             "settings": {
                 "family_info": {"cores": setup.cores, "memory_kb": setup.memory_kb, "run_factor": 2.0,
                     "key_kb": 0.1, "cold": false, "advert": "share_of", "halt": "abort", "calls_out": 500.0,
@@ -99,7 +100,14 @@
                 command
             }
         };
-        command.arg(if matches!(build, Build::Program(_)) { "serve" } else { "counted" }).arg(&path);
+        command.arg(if matches!(build, Build::Program(_)) { "serve" } else { "counted" });
+        // An earlier build may know no service file; it is told of one only where the case needs it.
+        let service = path.with_extension("kdl");
+        if let Some(kb) = setup.result_kb {
+            std::fs::write(&service, format!("results {{\n    longest-kb {kb}\n}}\n"))?;
+            command.arg("--service").arg(&service);
+        }
+        command.arg(&path);
         let mut child = command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn()?;
         let stdout = child.stdout.take().map(BufReader::new);
         let counts = stdout.filter(|_| matches!(build, Build::Counted));
@@ -182,6 +190,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(self.config.with_extension("kdl"));
     }
 }
 
--- a/crates/aldercrank-server/src/config.rs
+++ b/crates/aldercrank-server/src/config.rs
@@ -1,6 +1,7 @@
 //! What the platform tells the program: a JSON file, and two variables that stand in for what it lacks.
 
 use aldercrank::Settings;
+use aldercrank_service::Service;
 use serde_json::Value as Json;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,13 +24,28 @@
 }
 
 impl Config {
-    /// Reads the file that `ROUTER_CONFIG` names, or this one.
-    pub fn load(path: Option<&str>) -> Result<Config, String> {
+    /// Reads the file that `ROUTER_CONFIG` names, or this one; and the service file, where there is one. Of the
+    /// latter all that is wrong is said, a line each.
+    pub fn load(path: Option<&str>, service: Option<&str>) -> Result<Config, String> {
         let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
         let path = path.map(str::to_string).or_else(|| var("ROUTER_CONFIG"));
         let path = path.ok_or("ROUTER_CONFIG is not set and no file was named")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-        Config::parse(&text, var).map_err(|why| format!("{path}: {why}"))
+        let mut config = Config::parse(&text, var).map_err(|why| format!("{path}: {why}"))?;
+        if let Some(path) = service {
+            let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
+            config.apply(&aldercrank_service::parse(&text).map_err(|faults| {
+                let lines: Vec<String> = faults.iter().map(|fault| format!("{path}:{fault}")).collect();
+                lines.join("\n")
+            })?);
+        }
+        Ok(config)
+    }
+
+    fn apply(&mut self, service: &Service) {
+        if let Some(kb) = service.results.longest_kb {
+            self.result = kb as usize * 1024;
+        }
     }
 
     /// Which fields of a new configuration differ that can't change while serving: all but the addresses of
@@ -39,7 +55,8 @@
             ("name", self.name == new.name),
             ("listen", self.listen == new.listen),
             ("stop_ms", self.stop == new.stop),
-            ("limits", (self.memory, self.sockets, self.result) == (new.memory, new.sockets, new.result)),
+            ("limits", (self.memory, self.sockets) == (new.memory, new.sockets)),
+            ("results in the service file", self.result == new.result),
             ("settings", self.settings.0 == new.settings.0),
         ];
         fields.into_iter().filter(|(_, same)| !same).map(|(name, _)| name).collect()
@@ -49,7 +66,11 @@
     pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let json: Json = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
         let word = |field: &str, or: &str| {
-            let given = json.get(field).and_then(Json::as_str).map(str::to_string);
+            let given = match json.get(field) {
+                Some(Json::String(text)) => Some(text.clone()),
+                Some(Json::Null) | None => None,
+                Some(_) => return Err(format!("{field} is no text")),
+            };
             given.or_else(|| var(or)).filter(|v| !v.is_empty()).ok_or(format!("{field} is missing"))
         };
         let addr = |field: &str, or: &str| {
@@ -68,7 +89,10 @@
         if !name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b)) {
             return Err(format!("name is no plain word: {name}"));
         }
-        let settings = json.get("settings").filter(|s| s.is_object()).ok_or("settings are missing")?;
+        let settings = json.get("settings").ok_or("settings are missing")?;
+        if !settings.is_object() {
+            return Err("settings are no object".to_string());
+        }
         let settings = aldercrank_json::settings(settings);
         if settings.text("profiles.0.name").is_none() {
             return Err("settings.profiles names no product".to_string());
@@ -78,13 +102,9 @@
         if sockets < 32 {
             return Err("limits.sockets is under 32".to_string());
         }
-        let result = match json.get("limits").and_then(|l| l.get("result_kb")) {
-            Some(_) => (limit("result_kb")?.min(64.0 * 1024.0) * 1024.0) as usize,
-            None => crate::pool::BYTES,
-        };
         Ok(Config {
             name,
-            result,
+            result: crate::pool::BYTES,
             listen: addr("listen", "ROUTER_LISTEN")?,
             pool: addr("pool", "")?,
             members: addr("members", "")?,
--- a/crates/aldercrank-server/src/main.rs
+++ b/crates/aldercrank-server/src/main.rs
@@ -7,23 +7,28 @@
 
 #[derive(Clone)]
 enum Command {
-    Serve { verbose: bool, config: Option<String> },
-    CheckConfig { config: Option<String> },
+    Serve { verbose: bool, service: Option<String>, config: Option<String> },
+    CheckConfig { service: Option<String>, config: Option<String> },
     Version,
 }
 
 fn commands() -> OptionParser<Command> {
     let config = || positional::<String>("CONFIG").help("the file, if not the one that ROUTER_CONFIG names");
     let verbose = long("verbose").short('v').help("log more").switch();
-    let file = config().optional();
-    let serve = construct!(Command::Serve { verbose, config(file) })
+    let service = || {
+        let help = "the program's own settings, as deploy/service.kdl shows; all is off without it";
+        long("service").help(help).argument::<String>("FILE").optional()
+    };
+    let (file, own) = (config().optional(), service());
+    let serve = construct!(Command::Serve { verbose, service(own), config(file) })
         .to_options()
         .descr("Serve until SIGTERM")
         .command("serve");
-    let file = config().optional();
-    let check = construct!(Command::CheckConfig { config(file) })
+    let (file, own) = (config().optional(), service());
+    let check = construct!(Command::CheckConfig { service(own), config(file) })
         .to_options()
         .descr("Say whether a configuration can be served, and which field is wrong")
+        .footer("Exit: 0 it can be served, 1 it can not")
         .command("check-config");
     let version = pure(Command::Version).to_options().descr("Print the version").command("version");
     construct!([serve, check, version]).to_options().descr("Decides what a server takes, runs and turns away")
@@ -35,12 +40,14 @@
             println!("aldercrank {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::CheckConfig { config } => Config::load(config.as_deref()).map(|c| {
-            println!("{}: can be served on {}", c.name, c.listen);
-        }),
-        Command::Serve { verbose, config } => {
+        Command::CheckConfig { service, config } => {
+            Config::load(config.as_deref(), service.as_deref()).map(|c| {
+                println!("{}: can be served on {}", c.name, c.listen);
+            })
+        }
+        Command::Serve { verbose, service, config } => {
             Logger::install(if verbose { log::LevelFilter::Debug } else { log::LevelFilter::Info });
-            let read = move || Config::load(config.as_deref());
+            let read = move || Config::load(config.as_deref(), service.as_deref());
             read().and_then(|c| net::serve(c, read).map_err(|e| e.to_string()))
         }
     };
--- a/crates/aldercrank-server/tests/suite/tables.rs
+++ b/crates/aldercrank-server/tests/suite/tables.rs
@@ -188,3 +188,27 @@
         assert!(slow.taken == plain, "seed {seed}");
     }
 }
+
+#[test]
+fn the_service_file_is_applied_whole_or_named_with_all_that_is_wrong() {
+    let dir = std::env::temp_dir();
+    let path = |name: &str| dir.join(format!("aldercrank-{}-{name}", std::process::id()));
+    let (config, service) = (path("tables.json"), path("tables.kdl"));
+    std::fs::write(&config, include_str!("../../../../examples/config.json")).unwrap();
+    let load = |text: &str| {
+        std::fs::write(&service, text).unwrap();
+        Config::load(config.to_str(), service.to_str())
+    };
+    assert_eq!(load("results {\n    longest-kb 512\n}\n").unwrap().result, 512 * 1024);
+    assert_eq!(load("").unwrap().result, 256 * 1024);
+    let why = load("results {\n    longest-kb 0\n}\nresult\n").err().unwrap();
+    assert!(
+        why.contains("tables.kdl:2:16: longest-kb takes") && why.contains("tables.kdl:4:1: result is not")
+    );
+    std::fs::remove_file(&service).unwrap();
+    assert!(Config::load(config.to_str(), service.to_str()).err().unwrap().contains("tables.kdl"));
+    // Of the wrong kind is not missing.
+    let text = include_str!("../../../../examples/config.json").replace("\"n1\"", "3");
+    assert_eq!(Config::parse(&text, |_| None).err().unwrap(), "name is no text");
+    std::fs::remove_file(&config).unwrap();
+}
--- /dev/null
+++ b/crates/aldercrank-service/tests/file.rs
@@ -0,0 +1,52 @@
+//! The service file as people write it, and as nobody should.
+
+use aldercrank_service::{parse, Results, Service};
+
+fn faults(text: &str) -> Vec<String> {
+    parse(text).unwrap_err().iter().map(|fault| fault.to_string()).collect()
+}
+
+#[test]
+fn the_example_is_read_and_an_empty_file_leaves_all_as_it_is() {
+    let example = include_str!("../../../deploy/service.kdl");
+    assert_eq!(parse(example), Ok(Service { results: Results { longest_kb: Some(1024) } }));
+    assert_eq!(parse("// nothing\n"), Ok(Service::default()));
+}
+
+#[test]
+fn all_that_is_wrong_is_said_at_once_with_its_line_and_column() {
+    let text =
+        "resluts {\n}\nresults 3 {\n    longest-kb \"big\"\n    longest-kb 4\n    colour #true\n}\nresults\n";
+    assert_eq!(
+        faults(text),
+        [
+            "1:1: resluts is not known; did you mean results?",
+            "3:9: results takes no value, but a block of settings",
+            "4:16: longest-kb takes one whole number from 1 to 65536, found the text \"big\"",
+            "5:5: longest-kb stands here a second time; it may stand once",
+            "6:5: colour is not known; known here: longest-kb",
+            "8:1: results stands here a second time; it may stand once",
+        ]
+    );
+    assert_eq!(faults("results"), ["1:1: results needs a block of settings in braces"]);
+    for (wrong, found) in [("0", "0"), ("70000", "70000"), ("1.5", "1.5"), ("#null", "#null")] {
+        let text = format!("results {{\n\tlongest-kb {wrong}\n}}");
+        let expected = format!("2:13: longest-kb takes one whole number from 1 to 65536, found {found}");
+        assert_eq!(faults(&text), [expected]);
+    }
+}
+
+#[test]
+fn what_is_no_kdl_is_a_fault_with_a_place_and_nothing_makes_it_panic() {
+    assert!(faults("results {\n  longest-kb 4\n").iter().all(|f| f.contains(':')));
+    let example = include_str!("../../../deploy/service.kdl");
+    // Wounds at every place, by a byte that is left out, doubled or another.
+    for at in 0..example.len() {
+        for wound in ["", "\"", "{", "\u{0}", "\u{fe0f}", "}"] {
+            let (Some(head), Some(tail)) = (example.get(..at), example.get(at + 1..)) else { continue };
+            if let Err(faults) = parse(&format!("{head}{wound}{tail}")) {
+                assert!(!faults.is_empty() && faults.iter().all(|f| f.line > 0 && f.column > 0));
+            }
+        }
+    }
+}
