A caller that goes with much unsent is dropped at once, its txns told

Cause: a connection with over 16 KB unsent was not read, also once its other side had gone, so its end was seen only when it had been idle for its time. Change: one whose end has come is read.

--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -203,7 +203,8 @@
                 if c.link.waiting() > UNSENT {
                     c.link.flush();
                 }
-                c.unread = c.link.waiting() > UNSENT;
+                // Nor will a side that has gone ever catch up: its end is what is left to be read.
+                c.unread = c.link.waiting() > UNSENT && !c.ended;
                 match c.unread {
                     true => None,
                     false => Some((c.link.read(&mut chunk), c.ended)),
--- a/crates/aldercrank-server/tests/suite/sockets.rs
+++ b/crates/aldercrank-server/tests/suite/sockets.rs
@@ -791,3 +791,39 @@
     let all = edge.closes();
     assert!(all.windows(8).any(|w| w == b"Internal"));
 }
+
+#[test]
+fn callers_that_go_as_their_answer_is_half_written_leave_neither_memory_nor_descriptors() {
+    let mut program = Program::start(|_| None);
+    let pool = program.serving();
+    std::thread::spawn(move || pool.serve(&[7; 200_000]));
+    let held = |what: &str, program: &Program| {
+        let proc = format!("/proc/{}", program.child.id());
+        match what {
+            "descriptors" => std::fs::read_dir(format!("{proc}/fd")).unwrap().count(),
+            _ => {
+                let status = std::fs::read_to_string(format!("{proc}/status")).unwrap();
+                let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+                line.split_whitespace().next().unwrap().parse().unwrap()
+            }
+        }
+    };
+    let half_read = |n: u32| {
+        let mut edge = program.connect();
+        edge.ask(1, "map", &rid(n), None, b"x");
+        // The first of it has come, the rest does not fit into the sockets.
+        edge.hears(&[&[0x94, 1, 1, 0xc0, 0x92, 0xc6]]);
+    };
+    (1..=20).for_each(half_read);
+    let before = ["descriptors", "memory"].map(|what| held(what, &program));
+    (21..=220).for_each(half_read);
+    let mut edge = program.connect();
+    edge.ask(1, "map", &rid(1000), None, b"x");
+    edge.hears(&[&[7; 200_000]]);
+    drop(edge);
+    std::thread::sleep(Duration::from_millis(100));
+    let after = ["descriptors", "memory"].map(|what| held(what, &program));
+    assert!(after[0] <= before[0] + 2, "{before:?} {after:?}");
+    // 40 MB went through by halves; a tenth of that would show a leak.
+    assert!(after[1] <= before[1] + 4_000, "{before:?} {after:?}");
+}
