Tests: the program's place is chosen without listening there

Cause: a child that another test was starting held the listener for a moment: it took a connection and reset it, or kept the program from listening (one run in 32 beside 15 others). Change: the place is bound and never listened on.

--- a/crates/aldercrank-server/tests/suite/sockets.rs
+++ b/crates/aldercrank-server/tests/suite/sockets.rs
@@ -16,6 +16,15 @@
     (listener, addr)
 }
 
+/// A place where nobody listens, nor has: a child that another test starts holds what is open here for a moment,
+/// and would take a connection, or keep the program from listening.
+fn free(ip: &str) -> SocketAddr {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_reuse_address(true).unwrap();
+    socket.bind(&format!("{ip}:0").parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.local_addr().unwrap().as_socket().unwrap()
+}
+
 /// Where a party was away; another test's child may hold the place for a moment yet.
 fn back(addr: SocketAddr) -> TcpListener {
     let until = Instant::now() + LONG;
@@ -153,7 +162,7 @@
         let (pid, number) = (std::process::id() % 60_000, PROGRAMS.fetch_add(1, Ordering::Relaxed));
         let ip = format!("127.{}.{}.{number}", 16 + pid / 250, 1 + pid % 250);
         let (edge, (pool, pool_addr), (index, index_addr), (members, members_addr)) =
-            (listen(&ip).1, listen(&ip), listen(&ip), listen(&ip));
+            (free(&ip), listen(&ip), listen(&ip), listen(&ip));
         let ((say_call, calls), (say_report, reports)) = (channel(), channel());
         let mut away = Vec::new();
         match answer {
