Read through once more: one map type, one read, one rule for what goes by reference

Need: the change had said some things twice. Change: the map of steady order is one type; both reads of a link end by one rule; what goes by reference is decided in one place; numbers are written by itoa; the core takes names and effects of products from the module's own reading; the laboratory's growth has no switch that nobody sets, and the load's server stands beside the load. A conversion without a caller is gone. Behaviour as it was.

--- a/crates/aldercrank-lab/src/cost.rs
+++ b/crates/aldercrank-lab/src/cost.rs
@@ -54,7 +54,7 @@
 /// The cases whose counts do not depend on the machine: those of the budget.
 pub fn ordinary() -> Vec<Case> {
     let named = |name: &str, kind| Case::new(name, kind);
-    let mut cases = vec![
+    vec![
         named("settled", Kind::Settled),
         Case { open: 32, ..named("settled, 32 open", Kind::Settled) },
         named("with a call", Kind::WithCall),
@@ -67,32 +67,17 @@
         Case { body: 0, result: 0, ..named("settled, empty", Kind::Settled) },
         Case { body: 2048, result: 2048, ..named("settled, 2 KiB", Kind::Settled) },
         Case { result: 1 << 20, txns: 16, ..named("settled, 1 MiB result", Kind::Settled) },
-    ];
-    cases.push(Case { idle: 1000, ..named("settled, 1,000 idle connections", Kind::Settled) });
-    cases
+        Case { idle: 1000, ..named("settled, 1,000 idle connections", Kind::Settled) },
+    ]
 }
 
 /// The cases that show what a txn costs as something grows.
-pub fn growth(long: bool) -> Vec<Case> {
-    let most = |sizes: &[usize], short: usize| -> Vec<usize> {
-        sizes.iter().copied().filter(|n| long || *n <= short).collect()
-    };
-    let held = most(&[10, 100, 1_000, 5_000, 10_000], 10_000).into_iter().map(|held| Case {
-        held,
-        txns: 500,
-        ..Case::new(&format!("{held} in hand"), Kind::Settled)
-    });
-    let idle = most(&[10, 100, 1_000, 5_000], 5_000).into_iter().map(|idle| Case {
-        idle,
-        txns: 500,
-        ..Case::new(&format!("{idle} connections"), Kind::Settled)
-    });
-    let marks = most(&[10, 1_000, 10_000, 50_000], 10_000).into_iter().map(|marks| Case {
-        marks,
-        txns: 500,
-        ..Case::new(&format!("{marks} marks"), Kind::Settled)
-    });
-    held.chain(idle).chain(marks).collect()
+pub fn growth() -> Vec<Case> {
+    let grown = |n: usize, what: &str| Case { txns: 500, ..Case::new(&format!("{n} {what}"), Kind::Settled) };
+    let held = [10, 100, 1_000, 5_000, 10_000].map(|held| Case { held, ..grown(held, "in hand") });
+    let idle = [10, 100, 1_000, 5_000].map(|idle| Case { idle, ..grown(idle, "connections") });
+    let marks = [10, 1_000, 10_000, 50_000].map(|marks| Case { marks, ..grown(marks, "marks") });
+    held.into_iter().chain(idle).chain(marks).collect()
 }
 
 /// What one txn cost.
--- a/crates/aldercrank-lab/src/load.rs
+++ b/crates/aldercrank-lab/src/load.rs
@@ -2,7 +2,7 @@
 //! counts from when its txn was due.
 
 use crate::peer::{Answer, Ask, Edge, OPEN};
-use crate::server::{beside, Build, Server};
+use crate::server::{beside, Build, Server, Setup};
 use crate::stand::{Plan, Runs};
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
@@ -75,7 +75,7 @@
         return Err(io::Error::other("rate, connections and cores must be 1 or more"));
     }
     let program = load.program.clone().unwrap_or_else(beside);
-    let server = Server::start(&Build::Program(program), &crate::loaded(load.cores))?;
+    let server = Server::start(&Build::Program(program), &setup(load.cores))?;
     let work = Runs::Work { span: Duration::from_millis(load.work), cores: load.cores };
     server.pool.plan(Plan { runs: work, calls: true, result: 100 });
     let (book, over, began) =
@@ -117,6 +117,18 @@
     Ok(book.lost == 0 && book.strange == 0)
 }
 
+/// A server of so many cores, as `examples/config.json` has it.
+fn setup(cores: usize) -> Setup {
+    Setup {
+        cores: cores as f64,
+        memory_kb: 20_000.0 * cores as f64,
+        slack: Duration::from_millis(60),
+        give_up: Duration::from_secs(3),
+        index_pause: Duration::from_millis(20),
+        result_kb: None,
+    }
+}
+
 /// Users spread evenly over each product's band; the buys stand above.
 fn rank(n: u64, buy: bool) -> f64 {
     let place = (n as f64 * 0.618_033_988_75).fract() * 0.999;
--- a/crates/aldercrank-lab/src/main.rs
+++ b/crates/aldercrank-lab/src/main.rs
@@ -11,12 +11,11 @@
 
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use cost::Case;
-use server::{Build, Setup};
+use server::Build;
 use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
 use std::alloc::System;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Duration;
 
 /// Counts what the counted server allocates; the laboratory's own processes pay a little for it.
 #[global_allocator]
@@ -139,7 +138,7 @@
     plot: Option<PathBuf>,
     json: bool,
 ) -> std::io::Result<bool> {
-    let all: Vec<Case> = cost::ordinary().into_iter().chain(cost::growth(true)).collect();
+    let all: Vec<Case> = cost::ordinary().into_iter().chain(cost::growth()).collect();
     let mut left = Vec::new();
     let rows = measure(&build, all, rounds, &mut left);
     if json {
@@ -149,7 +148,7 @@
     }
     if let Some(file) = plot {
         let earlier = match &against {
-            Some(old) => measure(&Build::Program(old.clone()), cost::growth(true), rounds, &mut left),
+            Some(old) => measure(&Build::Program(old.clone()), cost::growth(), rounds, &mut left),
             None => Vec::new(),
         };
         plot::growth(&file, &rows, &earlier).map_err(std::io::Error::other)?;
@@ -225,15 +224,3 @@
         }
     }
 }
-
-/// For the load: a server of so many cores, as `examples/config.json` has it.
-pub fn loaded(cores: usize) -> Setup {
-    Setup {
-        cores: cores as f64,
-        memory_kb: 20_000.0 * cores as f64,
-        slack: Duration::from_millis(60),
-        give_up: Duration::from_secs(3),
-        index_pause: Duration::from_millis(20),
-        result_kb: None,
-    }
-}
--- a/crates/aldercrank-server/src/core.rs
+++ b/crates/aldercrank-server/src/core.rs
@@ -6,9 +6,8 @@
 use crate::pool::{Notice, Rid};
 use crate::slots::{Slot, Slots};
 use aldercrank::tree::Tree;
-use aldercrank::{Arrival, Brain, Effect, Host, Outcome, Settings, TxnId};
-use std::collections::{HashMap, VecDeque};
-use std::hash::{BuildHasherDefault, DefaultHasher};
+use aldercrank::{terms, Arrival, Brain, Effect, Host, Outcome, Settings, SteadyMap, TxnId};
+use std::collections::VecDeque;
 use std::ops::Bound;
 use std::rc::Rc;
 use std::time::Duration;
@@ -134,13 +133,13 @@
 pub struct Hands<P: Ports> {
     pub ports: P,
     now: Duration,
-    products: Vec<(String, Effect)>,
+    products: Vec<(Rc<str>, Effect)>,
     longest: Duration,
     /// The longest that a client waits.
     patience: Duration,
     tick: Duration,
     txns: Slots<Txn>,
-    rids: HashMap<Rid, TxnId, BuildHasherDefault<DefaultHasher>>,
+    rids: SteadyMap<Rid, TxnId>,
     seats: Tree<Seat, TxnId>,
     keys: Keys,
     link: Link,
@@ -360,9 +359,8 @@
     /// `now`: how long ago the worker pool came up. `room`: bytes for the results that are kept.
     pub fn start(settings: Settings, now: Duration, room: usize, ports: P) -> Core<P> {
         let key = |i: usize, field: &str| format!("profiles.{i}.{field}");
-        let named = (0..).map_while(|i| settings.text(&key(i, "name")).map(|name| (i, name)));
-        let effect = |i: usize| Effect::named(settings.text(&key(i, "effect")).unwrap_or_default());
-        let products: Vec<(String, Effect)> = named.map(|(i, name)| (name.to_string(), effect(i))).collect();
+        let products = terms::products(&settings).into_iter().map(|p| (p.name, p.effect));
+        let products: Vec<(Rc<str>, Effect)> = products.collect();
         let most = |field: &str| (0..products.len()).filter_map(|i| settings.span(&key(i, field))).max();
         let (longest, patience) = (most("window"), most("give_up"));
         let hands = Hands {
@@ -373,7 +371,7 @@
             patience: patience.unwrap_or(Duration::MAX),
             tick: Duration::ZERO,
             txns: Slots::default(),
-            rids: HashMap::default(),
+            rids: SteadyMap::default(),
             seats: Tree::default(),
             keys: Keys::new(room),
             link: Link::Down,
@@ -453,7 +451,7 @@
     /// Takes a whole txn. Nothing is run for one that makes no sense: it is told so at once.
     pub fn txn_read(&mut self, now: Duration, seat: Seat, ask: Ask) {
         let hands = self.at(now);
-        let product = hands.products.iter().position(|(name, _)| *name == ask.arrival.product);
+        let product = hands.products.iter().position(|(name, _)| **name == *ask.arrival.product);
         let Some(product) = product.filter(|_| !hands.rids.contains_key(&ask.rid)) else {
             log::warn!("txn {} of product {:?} not taken", ask.rid, ask.arrival.product);
             return hands.ports.void(seat);
--- a/crates/aldercrank-server/src/deadlines.rs
+++ b/crates/aldercrank-server/src/deadlines.rs
@@ -1,20 +1,20 @@
 //! The one ordered structure that all deadlines hang in.
 
 use aldercrank::tree::Tree;
-use std::collections::HashMap;
-use std::hash::{BuildHasherDefault, DefaultHasher, Hash};
+use aldercrank::SteadyMap;
+use std::hash::Hash;
 use std::time::Duration;
 
 /// Each thing has one deadline at most; a new one replaces it.
 #[derive(Debug)]
 pub struct Deadlines<K> {
-    at: HashMap<K, Duration, BuildHasherDefault<DefaultHasher>>,
+    at: SteadyMap<K, Duration>,
     order: Tree<(Duration, K)>,
 }
 
 impl<K> Default for Deadlines<K> {
     fn default() -> Self {
-        Deadlines { at: HashMap::default(), order: Tree::default() }
+        Deadlines { at: SteadyMap::default(), order: Tree::default() }
     }
 }
 
--- a/crates/aldercrank-server/src/keys.rs
+++ b/crates/aldercrank-server/src/keys.rs
@@ -3,10 +3,9 @@
 use crate::payload::Payload;
 use crate::slots::{Slot, Slots};
 use aldercrank::tree::Tree;
-use aldercrank::TxnId;
+use aldercrank::{SteadyMap, TxnId};
 use bytes::Bytes;
-use std::collections::HashMap;
-use std::hash::{BuildHasherDefault, DefaultHasher, Hash, Hasher};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 /// The most entries, some of them past their end.
@@ -64,7 +63,7 @@
 
 pub struct Keys {
     entries: Slots<Entry>,
-    marks: HashMap<Mark, KeyId, BuildHasherDefault<DefaultHasher>>,
+    marks: SteadyMap<Mark, KeyId>,
     /// Those with a result, in the order in which the results came, and what they take.
     results: Tree<u64, KeyId>,
     results_ever: u64,
@@ -74,7 +73,7 @@
 
 impl Keys {
     pub fn new(room: usize) -> Keys {
-        let (entries, marks, results) = (Slots::default(), HashMap::default(), Tree::default());
+        let (entries, marks, results) = (Slots::default(), SteadyMap::default(), Tree::default());
         Keys { entries, marks, results, results_ever: 0, bytes: 0, room }
     }
 
--- a/crates/aldercrank-server/src/msgpack.rs
+++ b/crates/aldercrank-server/src/msgpack.rs
@@ -181,33 +181,11 @@
     text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
 }
 
-/// A number as the text that fields carry.
-struct Digits {
-    bytes: [u8; 20],
-    from: usize,
-}
-
-impl Digits {
-    fn of(mut n: u128) -> Digits {
-        let mut digits = Digits { bytes: [b'0'; 20], from: 20 };
-        while digits.from > 0 && (n > 0 || digits.from == 20) {
-            digits.from -= 1;
-            digits.bytes[digits.from] = b'0' + (n % 10) as u8;
-            n /= 10;
-        }
-        digits
-    }
-
-    fn text(&self) -> &str {
-        std::str::from_utf8(&self.bytes[self.from..]).unwrap_or_default()
-    }
-}
-
 /// What goes along with answers; the free value as it is written.
 fn fields(into: &mut Vec<u8>, hint: Option<&str>, back_in: Option<Duration>, last: bool) {
     // Rounded up: a moment of less than a millisecond still is one.
-    let back_in = back_in.map(|b| Digits::of(b.as_micros().div_ceil(1000)));
-    let back_in = back_in.as_ref().map(Digits::text);
+    let mut digits = itoa::Buffer::new();
+    let back_in = back_in.map(|b| digits.format(b.as_micros().div_ceil(1000)));
     let all = [("hint", hint), ("backoff", back_in), ("final", last.then_some("1"))];
     let _ = encode::write_map_len(into, all.iter().flat_map(|(_, value)| value).count() as u32);
     for (name, value) in all.iter().filter_map(|(name, value)| value.map(|v| (name, v))) {
--- a/crates/aldercrank-server/src/net/link.rs
+++ b/crates/aldercrank-server/src/net/link.rs
@@ -5,8 +5,9 @@
 use crate::payload::Out;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use rustix::io::retry_on_intr;
 use socket2::{Domain, Protocol, Socket, Type};
-use std::io::{self, ErrorKind, Read};
+use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -22,6 +23,17 @@
     End,
 }
 
+impl Got {
+    fn of(read: rustix::io::Result<usize>) -> Got {
+        match read {
+            Ok(0) => Got::End,
+            Ok(n) => Got::Bytes(n),
+            Err(rustix::io::Errno::AGAIN) => Got::Dry,
+            Err(_) => Got::End,
+        }
+    }
+}
+
 /// What is read at once, into a buffer that all connections share.
 pub const CHUNK: usize = 64 * 1024;
 /// Room that a connection keeps for what it has read in part.
@@ -124,29 +136,13 @@
 
     /// Reads once, into the front of `into`.
     pub fn read(&mut self, into: &mut [u8]) -> Got {
-        loop {
-            return match (&*self.stream).read(into) {
-                Ok(0) => Got::End,
-                Ok(n) => Got::Bytes(n),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => Got::Dry,
-                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                Err(_) => Got::End,
-            };
-        }
+        Got::of(retry_on_intr(|| rustix::io::read(&*self.stream, &mut *into)))
     }
 
     /// Reads once, behind what is left, no further than the room that was made for it.
     pub fn read_on(&mut self) -> Got {
-        loop {
-            let room = rustix::buffer::spare_capacity(&mut self.input);
-            return match rustix::io::read(&*self.stream, room) {
-                Ok(0) => Got::End,
-                Ok(n) => Got::Bytes(n),
-                Err(rustix::io::Errno::AGAIN) => Got::Dry,
-                Err(rustix::io::Errno::INTR) => continue,
-                Err(_) => Got::End,
-            };
-        }
+        let input = &mut self.input;
+        Got::of(retry_on_intr(|| rustix::io::read(&*self.stream, rustix::buffer::spare_capacity(input))))
     }
 
     /// Ends what we say, so that the other side reads all of it before it closes.
--- a/crates/aldercrank-server/src/payload.rs
+++ b/crates/aldercrank-server/src/payload.rs
@@ -42,21 +42,20 @@
         }
     }
 
-    /// To be remembered. A small part of a large buffer is copied, so as not to keep all of that.
-    pub fn keep(&self) -> Bytes {
+    /// Where it goes on by reference. A small part of a large buffer does not, so as not to keep all of that.
+    fn by_reference(&self) -> Option<Bytes> {
         match self {
-            Payload::Shared(bytes) if bytes.len() >= LARGE => (*bytes).clone(),
-            other => {
-                count(other.bytes().len());
-                Bytes::copy_from_slice(other.bytes())
-            }
+            Payload::Shared(bytes) if bytes.len() >= LARGE => Some((*bytes).clone()),
+            _ => None,
         }
     }
-}
 
-impl<'a> From<&'a [u8]> for Payload<'a> {
-    fn from(bytes: &'a [u8]) -> Self {
-        Payload::Passing(bytes)
+    /// To be remembered.
+    pub fn keep(&self) -> Bytes {
+        self.by_reference().unwrap_or_else(|| {
+            count(self.bytes().len());
+            Bytes::copy_from_slice(self.bytes())
+        })
     }
 }
 
@@ -108,11 +107,11 @@
     }
 
     pub fn result(&mut self, result: &Payload) {
-        match result {
-            Payload::Shared(bytes) if bytes.len() >= LARGE => self.blob(Blob::Result((*bytes).clone())),
-            other => {
-                count(other.bytes().len());
-                self.words(|words| words.extend_from_slice(other.bytes()));
+        match result.by_reference() {
+            Some(bytes) => self.blob(Blob::Result(bytes)),
+            None => {
+                count(result.bytes().len());
+                self.words(|words| words.extend_from_slice(result.bytes()));
             }
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,4 +16,4 @@
 pub use brain::Brain;
 pub use host::Host;
 pub use settings::{Settings, Value};
-pub use types::{Arrival, CallerId, Effect, IdMap, Outcome, Product, TxnId};
+pub use types::{Arrival, CallerId, Effect, IdMap, Outcome, Product, SteadyMap, TxnId};
--- a/src/types.rs
+++ b/src/types.rs
@@ -9,8 +9,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TxnId(pub u32);
 
-/// By txn; its order never shows, and it is the same at each start.
-pub type IdMap<V> = HashMap<TxnId, V, BuildHasherDefault<DefaultHasher>>;
+/// A map whose order never shows, and that is the same at each start; it allocates nothing once it has been as
+/// full before.
+pub type SteadyMap<K, V> = HashMap<K, V, BuildHasherDefault<DefaultHasher>>;
+pub type IdMap<V> = SteadyMap<TxnId, V>;
 
 /// Who sent a txn.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
