Requests without a budget, connections that end over unread bytes, another pool, foreign settings

Ruled out: the wire's names, which are the same. Where the settings say so the product's give_up from t0 stands in; where not it is misuse as before, and the log names the field. Connections now linger (net/closing.rs): what is owed is written, the write side is shut, what still comes is read and dropped within a bound. Half a message is waited for. A pool replaced while the server stood still was taken for the same one (the loss is noted after its start), so its first notices counted as replayed ones and nothing ended. Its start is now compared too; a link that does not connect within a second is dialled anew. A new configuration of another server, or of none of the products, moved the links to another customer's places. It is left aside whole. Settings that are there and can't be gone by were logged and replaced by defaults; all are now named and refused. 7. Descriptors that the server opens itself were a tenth of the limit, however small: now a fixed number.

--- a/crates/aldercrank-server/src/config.rs
+++ b/crates/aldercrank-server/src/config.rs
@@ -114,6 +114,19 @@
         fields.into_iter().filter(|(_, same)| !same).map(|(name, _)| name).collect()
     }
 
+    /// Why a new configuration can't be meant for this server: it names another, or none of the products is known.
+    /// Its addresses would be another customer's, so nothing of it may hold.
+    pub fn foreign(&self, new: &Config) -> Option<String> {
+        if self.name != new.name {
+            return Some(format!("it names the server {}, and this is {}", new.name, self.name));
+        }
+        let (known, offered) = (self.products(), new.products());
+        let shared = offered.iter().any(|name| known.contains(name));
+        (!shared).then(|| {
+            format!("it names the products {}, and here are {}", offered.join(", "), known.join(", "))
+        })
+    }
+
     fn cores(&self) -> Option<f64> {
         self.settings.num(CORES)
     }
@@ -169,6 +182,10 @@
         if settings.text("profiles.0.name").is_none() {
             return Err("settings.profiles names no product".to_string());
         }
+        let senseless = settings.senseless();
+        if !senseless.is_empty() {
+            return Err(format!("settings.{}", senseless.join(", settings.")));
+        }
         let calls = settings.text("family_info.below") != Some("none");
         let sockets = limit("sockets")? as usize;
         if sockets < 32 {
--- a/crates/aldercrank-server/src/net/conns.rs
+++ b/crates/aldercrank-server/src/net/conns.rs
@@ -1,5 +1,10 @@
 //! The table of connections from edge nodes: which are idle, which owe a whole message, and how each ends.
 //! It owns their number: at the bound, room is made among those that have nothing open.
+//!
+//! A connection goes through three states, in this order: open, closing (the other side was told that nothing new
+//! is to come) and lingering (no request is taken any more; what was answered is written, the write side is shut,
+//! and what still comes is read and dropped until the other side has closed or its time is over). A close over
+//! unread bytes would reset the connection and take with it answers that the system had not delivered yet.
 
 use super::link::{Link, Loop};
 use super::Due;
@@ -8,10 +13,14 @@
 use crate::msgpack::{self, Beside};
 use crate::payload::Out;
 use crate::slots::{Slot, Slots};
+use std::collections::VecDeque;
 use std::time::Duration;
 
-/// How long the other side has to close what was told to close.
-const PARTING: Duration = Duration::from_secs(1);
+/// How long the other side has to close what was told to close, and again once the write side is shut.
+pub(super) const PARTING: Duration = Duration::from_secs(1);
+/// Of the bound on connections, the part that is kept for those that linger: from there on the idlest are ended in
+/// order, and only at the bound itself are those that linger dropped before their time.
+const LINGER_SHARE: usize = 16;
 /// How long a connection may go without a whole message, after its start or after a message's first byte. An
 /// edge node opens one when it has something to say, and messages are small.
 pub(super) const WHOLE: Duration = Duration::from_millis(1500);
@@ -21,6 +30,8 @@
     Open,
     /// Told that nothing new is to come on it.
     Closing,
+    /// No request is taken from it any more; it closes once all is written and the other side has closed.
+    Lingering,
 }
 
 pub struct Conn {
@@ -47,6 +58,12 @@
     pub(super) owes: Option<Duration>,
     /// When it was last known that nothing of it lay unread.
     pub(super) dry: Duration,
+    /// How much had been written when its progress was last looked at.
+    written: u64,
+    /// The write side is shut: all that was said has been written before.
+    shut: bool,
+    /// While it lingers: the last wait for the other side has begun.
+    last_wait: bool,
 }
 
 impl Conn {
@@ -67,8 +84,34 @@
             spoken: false,
             owes,
             dry,
+            written: 0,
+            shut: false,
+            last_wait: false,
         }
     }
+
+    pub(super) fn lingering(&self) -> bool {
+        self.state == State::Lingering
+    }
+
+    /// Writes what can be; after the last byte of one that lingers its write side is shut, once.
+    pub(super) fn flush(&mut self) {
+        self.link.flush();
+        if self.lingering() && !self.shut && self.link.waiting() == 0 {
+            self.link.hush();
+            self.shut = true;
+        }
+    }
+
+    /// Whether anything has been written since this was last asked; if so, it is quiet from now on.
+    fn progressed(&mut self, now: Duration) -> bool {
+        let written = self.link.written();
+        let progressed = std::mem::replace(&mut self.written, written) != written;
+        if progressed {
+            self.quiet = now;
+        }
+        progressed
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -91,7 +134,11 @@
     /// Those with nothing open: that have never said anything whole, and that have.
     rows: [Row; 2],
     most: usize,
+    /// Those that linger, in the order in which they began to.
+    lingering: VecDeque<ConnId>,
     idle: Option<Duration>,
+    /// How long the other side has to close; shorter where this server has less time.
+    parting: Duration,
     /// The free value as it is written.
     hint: Option<String>,
     /// Those on which something has been said this turn.
@@ -100,7 +147,12 @@
 
 impl Conns {
     pub fn at_most(most: usize) -> Conns {
-        Conns { most, ..Conns::default() }
+        Conns { most, parting: PARTING, ..Conns::default() }
+    }
+
+    /// This server ends after so long: each of the two waits for the other side takes a third of that at most.
+    pub(super) fn ends_in(&mut self, span: Duration) {
+        self.parting = self.parting.min(span / 3);
     }
 
     /// Its number is handed to `link`, which may refuse it.
@@ -200,6 +252,17 @@
         self.conns.len() >= self.most
     }
 
+    /// So many that the idlest should be ended while that can still be done in order.
+    pub(super) fn crowded(&self) -> bool {
+        self.conns.len() - self.lingering.len() >= self.most - self.most / LINGER_SHARE
+    }
+
+    /// Of those that linger, the one that has for longest, all of it written.
+    pub(super) fn lingering_longest(&mut self) -> Option<ConnId> {
+        let shut = |conn: &&ConnId| self.conns.get(Slot(conn.0)).is_some_and(|c| c.shut);
+        self.lingering.iter().find(shut).copied()
+    }
+
     pub(super) fn get(&mut self, conn: ConnId) -> Option<&mut Conn> {
         self.conns.get_mut(Slot(conn.0))
     }
@@ -233,7 +296,7 @@
         while let Some(conn) = self.dirty.pop() {
             if let Some(c) = self.get(conn) {
                 c.dirty = false;
-                c.link.flush();
+                c.flush();
             }
         }
     }
@@ -258,7 +321,8 @@
 
     /// After an answer: what is idle now closes when its time comes.
     pub fn rest(&mut self, conn: ConnId, now: Duration, deadlines: &mut Deadlines<Due>) {
-        let Some(c) = self.conns.get_mut(Slot(conn.0)).filter(|c| c.calls.is_empty()) else { return };
+        let quiet = |c: &&mut Conn| c.calls.is_empty() && !c.lingering();
+        let Some(c) = self.conns.get_mut(Slot(conn.0)).filter(quiet) else { return };
         c.quiet = now;
         let state = c.state;
         self.leave_row(conn);
@@ -269,7 +333,8 @@
                     deadlines.set(Due::Idle, now + idle);
                 }
             }
-            State::Closing => deadlines.set(Due::Parted(conn), now + PARTING),
+            State::Closing => deadlines.set(Due::Parted(conn), now + self.parting),
+            State::Lingering => {}
         }
     }
 
@@ -317,10 +382,52 @@
         all.into_iter().for_each(|conn| self.part(conn, now, deadlines));
     }
 
+    /// Ends one on which nothing is open: what was said is written, then the write side is shut, and what still
+    /// comes is dropped.
+    pub(super) fn linger(&mut self, conn: ConnId, now: Duration, deadlines: &mut Deadlines<Due>) {
+        self.leave_row(conn);
+        let parting = self.parting;
+        let Some(c) = self.get(conn).filter(|c| !c.lingering()) else { return };
+        c.state = State::Lingering;
+        c.calls.clear();
+        c.link.input = Vec::new();
+        c.owes = None;
+        c.quiet = now;
+        c.flush();
+        c.written = c.link.written();
+        c.last_wait = c.shut;
+        self.lingering.push_back(conn);
+        deadlines.clear(Due::Whole(conn));
+        deadlines.set(Due::Parted(conn), now + parting);
+    }
+
+    /// A wait of one that lingers is over: true where it has to go now. One whose reader is slow stays as long as
+    /// something of what it is owed goes out, and for `patience` after that.
+    pub(super) fn lingered(
+        &mut self,
+        conn: ConnId,
+        now: Duration,
+        patience: Duration,
+        deadlines: &mut Deadlines<Due>,
+    ) -> bool {
+        let parting = self.parting;
+        let Some(c) = self.get(conn) else { return false };
+        c.flush();
+        let over = match c.shut {
+            true => std::mem::replace(&mut c.last_wait, true),
+            false => !c.progressed(now) && now >= c.quiet + patience,
+        };
+        if !over {
+            deadlines.set(Due::Parted(conn), now + parting);
+        }
+        over
+    }
+
     pub(super) fn drop(&mut self, conn: ConnId, on_loop: &Loop, deadlines: &mut Deadlines<Due>) {
         deadlines.clear(Due::Parted(conn));
         deadlines.clear(Due::Whole(conn));
         self.leave_row(conn);
+        self.lingering.retain(|other| *other != conn);
         if let Some(c) = self.conns.remove(Slot(conn.0)) {
             c.link.close(on_loop);
         }
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -23,60 +23,109 @@
 const UNSENT: usize = 16 * 1024;
 /// How often a connection that is not read is looked at.
 const STUCK: Duration = Duration::from_secs(1);
-/// Connections that are looked at to make room for another.
-const LOOKS: usize = 8;
 /// What the system may hold for it besides; more where results may be longer than usual, of that a part. Less
 /// than two segments would wait for an acknowledgement each.
 const SENDING: usize = 32 * 1024;
 const SENDING_PART: usize = 4;
 
+/// A field of a request that is missing or out of the protocol's range, by its name there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BadField {
+    Missing(&'static str),
+    OutOfRange(&'static str),
+}
+
+/// What no edge node says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Misuse {
+    Message(&'static str),
+    Field(BadField),
+}
+
+impl std::fmt::Display for Misuse {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Misuse::Message(why) => f.write_str(why),
+            Misuse::Field(BadField::Missing(name)) => {
+                write!(f, "a call without {name}, or with one that can't be read")
+            }
+            Misuse::Field(BadField::OutOfRange(name)) => write!(f, "a call with {name} out of range"),
+        }
+    }
+}
+
 /// What an edge node says, on one connection, at one moment.
 struct Hear<'a> {
     server: &'a mut Server,
     conn: ConnId,
     /// It has said what no edge node says.
-    misused: Option<&'static str>,
+    misused: Option<Misuse>,
+}
+
+impl Hear<'_> {
+    /// A request with its times on this server's clock.
+    fn request<'b>(
+        &mut self,
+        now: Duration,
+        method: &'b str,
+        fields: &Fields<'b>,
+        body: &'b [u8],
+    ) -> Result<Ask<'b>, BadField> {
+        let unix = Clock::unix();
+        let t0 = Duration::from_millis(fields.t0.ok_or(BadField::Missing("t0"))?);
+        let told = fields.budget.map(Duration::from_millis);
+        let budget =
+            told.or_else(|| self.server.terms.deadline(method)).ok_or(BadField::Missing("budget"))?;
+        // Nothing below zero, should our clock have been set back.
+        let lay = unix.saturating_sub(t0);
+        // And not longer than told.
+        let until = t0.checked_add(budget).ok_or(BadField::OutOfRange("budget"))?;
+        let left = until.saturating_sub(unix).min(budget);
+        // Its word on that is believed as far as our own reading allows: what came before the connection was last
+        // found dry has been read then.
+        let dry = self.server.net().edge.get(self.conn).map_or(now, |c| c.dry);
+        let unread = now.saturating_sub(dry);
+        let mark = match (fields.token, fields.obj) {
+            (Some(token), _) => Some(Mark::token(method, token, body)),
+            (None, Some(obj)) => Some(Mark::subject(method, obj)),
+            (None, None) => None,
+        };
+        let memory_kb = fields.mem.ok_or(BadField::Missing("mem"))?;
+        if memory_kb <= 0.0 || memory_kb >= MEM {
+            return Err(BadField::OutOfRange("mem"));
+        }
+        let rank = fields.prio.ok_or(BadField::Missing("prio"))?;
+        if rank >= 1.0 {
+            return Err(BadField::OutOfRange("prio"));
+        }
+        let rid = fields.rid.ok_or(BadField::Missing("rid"))?;
+        let arrival = Arrival {
+            product: method,
+            subject: fields.obj,
+            expiry: Some(now.checked_add(left).ok_or(BadField::OutOfRange("budget"))?),
+            memory_kb,
+            rank,
+            caller: CallerId(fields.peer.ok_or(BadField::Missing("peer"))?),
+            lay,
+            ..Arrival::default()
+        };
+        let rid = Rid::new(rid).ok_or(BadField::OutOfRange("rid"))?;
+        Ok(Ask { rid, mark, arrival, unread, body })
+    }
 }
 
 impl Edge for Hear<'_> {
     fn asked(&mut self, call: CallNo, method: &str, fields: &Fields, body: &[u8]) {
         if let Err(why) = self.server.open_call(self.conn, call) {
-            self.misused = Some(why);
+            self.misused = Some(Misuse::Message(why));
             return;
         }
         let seat = Seat { conn: self.conn, call };
-        let unix = Clock::unix();
-        let ask = (|| {
-            let (t0, budget) = (Duration::from_millis(fields.t0?), Duration::from_millis(fields.budget?));
-            let now = self.server.now();
-            // Nothing below zero, should our clock have been set back.
-            let lay = unix.saturating_sub(t0);
-            // And not longer than told.
-            let left = t0.checked_add(budget)?.saturating_sub(unix).min(budget);
-            // Its word on that is believed as far as our own reading allows: what came before the connection
-            // was last found dry has been read then.
-            let unread = now.saturating_sub(self.server.net().edge.get(self.conn)?.dry);
-            let mark = match (fields.token, fields.obj) {
-                (Some(token), _) => Some(Mark::token(method, token, body)),
-                (None, Some(obj)) => Some(Mark::subject(method, obj)),
-                (None, None) => None,
-            };
-            let arrival = Arrival {
-                product: method,
-                subject: fields.obj,
-                expiry: Some(now.checked_add(left)?),
-                memory_kb: fields.mem.filter(|kb| *kb > 0.0 && *kb < MEM)?,
-                rank: fields.prio.filter(|rank| *rank < 1.0)?,
-                caller: CallerId(fields.peer?),
-                lay,
-                ..Arrival::default()
-            };
-            Some((now, Ask { rid: Rid::new(fields.rid?)?, mark, arrival, unread, body }))
-        })();
-        match ask {
-            Some((now, ask)) => self.server.asked(now, seat, ask),
-            None if method == msgpack::RULES && self.server.rules_asked(seat, body) => {}
-            None => self.misused = Some("a call with fields that are missing or make no sense"),
+        let now = self.server.now();
+        match self.request(now, method, fields, body) {
+            Ok(ask) => self.server.asked(now, seat, ask),
+            Err(_) if method == msgpack::RULES && self.server.rules_asked(seat, body) => {}
+            Err(why) => self.misused = Some(Misuse::Field(why)),
         }
     }
 
@@ -98,11 +147,11 @@
     fn senseless(&mut self, call: CallNo, why: &'static str) {
         // Open, so that it gets its error with all the others.
         let _ = self.server.open_call(self.conn, call);
-        self.misused = Some(why);
+        self.misused = Some(Misuse::Message(why));
     }
 
     fn ignored(&mut self, why: &'static str) {
-        self.misused = Some(why);
+        self.misused = Some(Misuse::Message(why));
     }
 }
 
@@ -111,7 +160,7 @@
     pub fn accept(&mut self, listener: &TcpListener) -> bool {
         let (began, dry) = (self.now(), self.none_waited);
         loop {
-            if self.net().edge.full() && !self.make_room() {
+            if !self.make_room() {
                 tracing::warn!("no room for another connection");
                 return false;
             }
@@ -131,21 +180,6 @@
         }
     }
 
-    /// Hundreds that say nothing, or have said all, must not keep the others out: the idlest one makes room,
-    /// after a last look at what may have come. A call that crosses the close is sent once more.
-    fn make_room(&mut self) -> bool {
-        for _ in 0..LOOKS {
-            let Some(conn) = self.net().edge.idlest() else { return false };
-            self.edge_readable(conn);
-            let idle = self.net().edge.get(conn).is_none_or(|c| c.calls.is_empty());
-            if idle {
-                self.edge_lost(conn);
-                return true;
-            }
-        }
-        false
-    }
-
     fn take(&mut self, stream: TcpStream, dry: Duration) {
         let now = self.now();
         let longer = self.config.result.saturating_sub(BYTES);
@@ -179,7 +213,7 @@
             let Some(c) = net.edge.get(conn) else { return };
             c.ended |= ready.ended;
             if ready.writable {
-                c.link.flush();
+                c.flush();
             }
             c.unread
         };
@@ -188,7 +222,7 @@
             return;
         }
         let began = *self.round.get_or_insert(now);
-        if now < began + self.slice {
+        if now < began + self.terms.slice {
             self.edge_readable(conn);
         } else {
             self.edge_turn(conn);
@@ -198,26 +232,31 @@
     /// Reads a connection once; one that may have more waits for its next turn.
     pub fn edge_readable(&mut self, conn: ConnId) {
         let mut chunk = self.chunk();
+        let (mut lingering, mut ended) = (false, false);
         let got = match self.net().edge.get(conn) {
             Some(c) => {
                 // What was said this turn may not even have been tried.
                 if c.link.waiting() > UNSENT {
-                    c.link.flush();
+                    c.flush();
                 }
+                (lingering, ended) = (c.lingering(), c.ended);
                 // Nor will a side that has gone ever catch up: its end is what is left to be read.
-                c.unread = c.link.waiting() > UNSENT && !c.ended;
+                c.unread = c.link.waiting() > UNSENT && !ended && !lingering;
                 match c.unread {
                     true => None,
-                    false => Some((c.link.read(&mut chunk), c.ended)),
+                    false => Some(c.link.read(&mut chunk)),
                 }
             }
             None => None,
         };
         let now = self.now();
         match got {
-            Some((Got::Bytes(n), ended)) => {
+            Some(Got::Bytes(n)) => {
                 let more = n == chunk.len() || ended;
-                self.edge_heard(conn, &chunk[..n]);
+                // What comes on one that lingers could not be answered.
+                if !lingering {
+                    self.edge_heard(conn, &chunk[..n]);
+                }
                 // Less than was asked for is all there is, unless it was the end.
                 if more {
                     self.edge_turn(conn);
@@ -225,12 +264,12 @@
                     c.dry = now;
                 }
             }
-            Some((Got::Dry, _)) => {
+            Some(Got::Dry) => {
                 if let Some(c) = self.net().edge.get(conn) {
                     c.dry = now;
                 }
             }
-            Some((Got::End, _)) => self.edge_lost(conn),
+            Some(Got::End) => self.edge_lost(conn),
             None => {}
         }
         self.chunk = chunk;
@@ -247,7 +286,7 @@
 
     /// Reads connections by turns, for a slice at most.
     pub fn edge_turns(&mut self) {
-        let until = self.now() + self.slice;
+        let until = self.now() + self.terms.slice;
         while self.now() < until {
             let mut net = self.net();
             let Some(conn) = net.again.pop_front() else { return };
@@ -277,7 +316,7 @@
             match msgpack::read(&heard[taken..], &mut hear) {
                 Ok(Some(n)) => taken += n,
                 Ok(None) => break,
-                Err(broken) => hear.misused = Some(broken.0),
+                Err(broken) => hear.misused = Some(Misuse::Message(broken.0)),
             }
             if let Some(why) = hear.misused {
                 return self.edge_misused(conn, why);
@@ -297,15 +336,6 @@
         net.edge.heard(conn, now, taken > 0, &mut net.deadlines);
     }
 
-    /// The one rule for what no edge node says, of whatever kind: nothing of it is run, what is open on the
-    /// connection gets an error at once, and it closes. Nothing behind it is read.
-    fn edge_misused(&mut self, conn: ConnId, why: &str) {
-        tracing::warn!(conn = conn.0, why, "a connection closes");
-        let open = self.net().edge.get(conn).map(|c| c.calls.clone()).unwrap_or_default();
-        open.into_iter().for_each(|call| self.refuse(Seat { conn, call }, false));
-        self.edge_lost(conn);
-    }
-
     /// A connection has owed a whole message for too long.
     pub fn edge_mute(&mut self, conn: ConnId) {
         // Not without a last look; and not while it is we who do not read.
@@ -319,7 +349,7 @@
             let mut net = self.net();
             net.deadlines.set(Due::Whole(conn), now + STUCK);
         } else if mute {
-            self.edge_misused(conn, "no whole message in its time");
+            self.edge_misused(conn, Misuse::Message("no whole message in its time"));
         }
     }
 
@@ -334,7 +364,7 @@
     }
 
     /// Answers without the module: for what makes no sense, or came when nothing can run.
-    fn refuse(&mut self, seat: Seat, never_ran: bool) {
+    pub(super) fn refuse(&mut self, seat: Seat, never_ran: bool) {
         self.net().answer(seat, |out, beside| {
             out.words(|words| match never_ran {
                 true => msgpack::declined(words, seat.call, beside, None, false),
@@ -357,28 +387,4 @@
         }
         self.net().rest(seat.conn);
     }
-
-    fn edge_lost(&mut self, conn: ConnId) {
-        let now = self.now();
-        {
-            let mut net = self.net();
-            let net = &mut *net;
-            net.edge.drop(conn, &net.on_loop, &mut net.deadlines);
-        }
-        if let Some(core) = &mut self.core {
-            core.conn_lost(now, conn);
-        }
-    }
-
-    /// A connection was told to close and has not been closed.
-    pub fn edge_parted(&mut self, conn: ConnId) {
-        let gone = |server: &Server| server.net().edge.get(conn).is_some_and(|c| c.calls.is_empty());
-        if gone(self) {
-            // Not without a last look at what may have come.
-            self.edge_readable(conn);
-            if gone(self) {
-                self.edge_lost(conn);
-            }
-        }
-    }
 }
--- a/crates/aldercrank-server/src/net/link.rs
+++ b/crates/aldercrank-server/src/net/link.rs
@@ -118,6 +118,11 @@
         self.out.waiting()
     }
 
+    /// Bytes that have been written.
+    pub fn written(&self) -> u64 {
+        self.out.written()
+    }
+
     /// Whether any byte has been written.
     pub fn began(&self) -> bool {
         self.out.written() > 0
--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The sockets: one loop on one thread, with everything that it serves.
 
+mod closing;
 mod conns;
 mod edge;
 mod exchange;
@@ -23,7 +24,7 @@
 use crate::phase::Phase;
 use crate::pool as words;
 use crate::pool::{Notice, Rid};
-use aldercrank::TxnId;
+use aldercrank::{Settings, TxnId};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction, RegistrationToken};
@@ -35,10 +36,12 @@
 use std::time::Duration;
 use wait::{ready, Waiter, Whose};
 
-/// Of the sockets that are allowed: how many edge nodes may have, and how many calls. The rest is for the
-/// other links and the loop itself.
-const EDGE_SHARE: f64 = 0.7;
-const CALLS_SHARE: f64 = 0.2;
+/// Descriptors that are kept for what the server opens itself, however many there are: standard streams, the loop's
+/// own, signals and listener, two links to the worker pool, reports, and a configuration that is read.
+const OWN_DESCRIPTORS: usize = 24;
+/// Of the others: how many edge nodes may have, and how many calls.
+const EDGE_SHARE: f64 = 0.75;
+const CALLS_SHARE: f64 = 0.25;
 /// The last part of the time until the stop, in which connections close.
 const LAST_PART: f64 = 0.1;
 /// Of the grace: how far the words of servers that leave together are spread.
@@ -187,9 +190,7 @@
     reread: Box<dyn Fn() -> Result<Config, String>>,
     room: usize,
     stop: Duration,
-    follows_health: bool,
-    /// How long connections are read before what is due has its turn.
-    slice: Duration,
+    terms: SocketTerms,
     /// What is read goes here first, whoever says it.
     chunk: Vec<u8>,
     /// When this round's reading began.
@@ -227,7 +228,7 @@
 
     /// What the membership service hears: it follows health only where the settings say so.
     fn listed(&self) -> bool {
-        self.phase.serving() && (!self.follows_health || self.net().good) && !self.rules_mute()
+        self.phase.serving() && (!self.terms.follows_health || self.net().good) && !self.rules_mute()
     }
 
     /// There may be room again for connections that were left waiting.
@@ -280,7 +281,9 @@
         let sooner = if self.core.is_some() { self.report_leaving(spread) } else { Duration::ZERO };
         let quiet = (now + grace).saturating_sub(sooner).min(stop);
         self.net().deadlines.set(Due::Quiet, quiet);
-        self.net().deadlines.set(Due::Stop, stop + last_part / 2);
+        let end = stop + last_part / 2;
+        self.net().deadlines.set(Due::Stop, end);
+        self.net().edge.ends_in(end.saturating_sub(quiet));
         if let Some(core) = &mut self.core {
             core.drain(now, stop);
         } else {
@@ -288,12 +291,18 @@
         }
     }
 
-    /// Nothing that comes from here on is run: a refused connection says so best.
+    /// Nothing that comes from here on is run: a refused connection says so best. Connections that wait for room are
+    /// not refused but reset by the end of the listener, with what was written on them, so it ends only once none
+    /// waits.
     fn quiet(&mut self, now: Duration) {
         if let Some(listener) = self.listener.take() {
-            self.accept(&listener);
-            if let Some(token) = self.listening.take() {
-                self.net().on_loop.remove(token);
+            let none_waits = self.accept(&listener);
+            match self.listening.take_if(|_| none_waits) {
+                Some(token) => self.net().on_loop.remove(token),
+                None => {
+                    self.listener = Some(listener);
+                    self.net().deadlines.set(Due::Quiet, now + LISTEN_AGAIN);
+                }
             }
         }
         let mut net = self.net();
@@ -348,11 +357,40 @@
     }
 }
 
-/// What the sockets themselves take from settings: how long connections are read in a row, and whether the list
-/// service hears of health.
-fn read_of(config: &Config) -> (Duration, bool) {
-    let slack = config.settings.span("rules.answer_slack").unwrap_or(NAP);
-    (slack.mul_f64(SLICE_SHARE), config.settings.flag("family_info.readiness") != Some(false))
+/// What the sockets themselves take from settings.
+struct SocketTerms {
+    /// How long connections are read before what is due has its turn.
+    slice: Duration,
+    /// Whether the membership service hears of health.
+    follows_health: bool,
+    /// The longest that anybody waits for an answer.
+    patience: Duration,
+    /// How long a caller of each product waits at most, where requests don't say how long theirs does.
+    deadlines: Vec<(Rc<str>, Duration)>,
+}
+
+impl SocketTerms {
+    fn read(settings: &Settings) -> SocketTerms {
+        let slack = settings.span("rules.answer_slack").unwrap_or(NAP);
+        let products = aldercrank::terms::products(settings);
+        let patience = products.iter().map(|product| product.expiry).max().unwrap_or(NAP);
+        let silent = settings.flag("family_info.passes_deadline") == Some(false);
+        let deadlines = products.into_iter().filter(|_| silent).map(|product| (product.name, product.expiry));
+        SocketTerms {
+            slice: slack.mul_f64(SLICE_SHARE),
+            follows_health: settings.flag("family_info.readiness") != Some(false),
+            patience,
+            deadlines: deadlines.collect(),
+        }
+    }
+
+    /// How long the caller of a request that doesn't say so waits: as long as any of its product does. None where
+    /// requests have to say so.
+    fn deadline(&self, product: &str) -> Option<Duration> {
+        let known = self.deadlines.iter().find(|(name, _)| **name == *product);
+        // The core turns away what it doesn't know, whatever its deadline.
+        known.map(|(_, deadline)| *deadline).or((!self.deadlines.is_empty()).then_some(self.patience))
+    }
 }
 
 /// How reports are paced: by the lapse of an entry, and by how many servers there are where that is told.
@@ -391,7 +429,8 @@
             Ok(PostAction::Disable)
         })
         .map_err(|e| e.error)?;
-    let share = |share: f64| (config.sockets as f64 * share) as usize;
+    let share =
+        |share: f64| (config.sockets.saturating_sub(OWN_DESCRIPTORS) as f64 * share).max(1.0) as usize;
     let net = Net {
         on_loop,
         waiter: Waiter::new(&events)?,
@@ -412,7 +451,7 @@
     };
     let on_loop = net.on_loop.clone();
     let rules = config.rules.as_ref().map(|wanted| Box::new(rules::Rules::new(&config, wanted, on_loop)));
-    let (slice, follows_health) = read_of(&config);
+    let terms = SocketTerms::read(&config.settings);
     let mut server = Server {
         net: Rc::new(RefCell::new(net)),
         core: None,
@@ -423,8 +462,7 @@
         room: (config.memory as f64 * RESULTS_SHARE) as usize,
         stop: config.stop,
         config,
-        follows_health,
-        slice,
+        terms,
         chunk: Vec::new(),
         round: None,
         listener: Some(listener),
--- a/crates/aldercrank-server/src/net/pool.rs
+++ b/crates/aldercrank-server/src/net/pool.rs
@@ -19,6 +19,11 @@
 const DIAL: Duration = Duration::from_millis(200);
 const LONGEST: f64 = 0.5;
 const TURNS: usize = 16;
+/// How long connecting may take. A machine that drops the first packet would answer the next one a second later, and
+/// the system itself tries for two minutes.
+const CONNECT: Duration = Duration::from_secs(1);
+/// A worker pool that came up later than the one before by more than this is another.
+const ANOTHER: Duration = Duration::from_millis(500);
 
 pub struct PoolLink {
     link: Option<Link>,
@@ -39,6 +44,10 @@
     parting: Option<Link>,
     /// When a bound link was lost.
     lost: Option<Duration>,
+    /// When `bind` was said on this link: the age that `bound` tells was read later.
+    bind_said: Duration,
+    /// When the worker pool came up, at the latest: the clock counts from the first one's start.
+    started: Duration,
     pace: Pace,
 }
 
@@ -59,6 +68,8 @@
             bound: false,
             parting: None,
             lost: None,
+            bind_said: Duration::ZERO,
+            started: Duration::ZERO,
             pace: Pace::new(terms, seed, name, Clock::unix()),
         }
     }
@@ -166,8 +177,14 @@
 
 impl Server {
     pub fn pool_dial(&mut self) {
+        if self.phase.stopped() {
+            return;
+        }
+        if self.net().pool.link.as_ref().is_some_and(Link::connecting) {
+            return self.pool_lost("no connection in its time");
+        }
         let mut net = self.net();
-        if net.pool.link.is_some() || self.phase.stopped() {
+        if net.pool.link.is_some() {
             return;
         }
         net.pool.number = net.pool.number.wrapping_add(1);
@@ -177,7 +194,11 @@
             Ok(link)
         });
         match link {
-            Ok(link) => net.pool.link = Some(link),
+            Ok(link) => {
+                let until = net.clock.now() + CONNECT;
+                net.pool.link = Some(link);
+                net.deadlines.set(Due::PoolDial, until);
+            }
             Err(e) => {
                 tracing::warn!(why = %e, "no link to the pool");
                 let now = net.clock.now();
@@ -212,6 +233,7 @@
             Ok(()) => {
                 link.out.words(|words| pool::bind(words, last));
                 link.flush();
+                net.pool.bind_said = net.clock.now();
                 drop(net);
                 self.phase.linked();
             }
@@ -376,13 +398,19 @@
             self.first_report();
         }
         let now = self.now();
-        // One that came up after the link was lost is another.
-        let lost = self.net().pool.lost.take();
-        let other = lost.is_some_and(|at| at + age < now);
-        if other {
-            tracing::warn!("the pool is another one");
-            self.net().pool.last = Notice(0);
-        }
+        // One that came up after the link was lost is another. So is one that came up after the one before: a server
+        // that stood still learns late that a link was lost.
+        let other = {
+            let mut net = self.net();
+            let pool = &mut net.pool;
+            let later = pool.bind_said > pool.started + age + ANOTHER;
+            let other = pool.lost.take().is_some_and(|at| at + age < now || later);
+            if other {
+                tracing::warn!("the pool is another one");
+                (pool.last, pool.started) = (Notice(0), now.saturating_sub(age));
+            }
+            other
+        };
         if let Some(core) = &mut self.core {
             if other {
                 core.pool_restarted(now, cold);
--- a/crates/aldercrank-server/src/net/reload.rs
+++ b/crates/aldercrank-server/src/net/reload.rs
@@ -1,7 +1,7 @@
 //! A new configuration at SIGHUP, in any phase: read and checked whole, then each link moves to its new place, and
 //! other settings hold by one step between two events. A bad file changes nothing.
 
-use super::{read_of, Server};
+use super::{Server, SocketTerms};
 use crate::config::Config;
 use aldercrank::Settings;
 
@@ -11,6 +11,9 @@
             Ok(new) => new,
             Err(why) => return tracing::error!(why, "the new configuration is left aside"),
         };
+        if let Some(why) = self.config.foreign(&new) {
+            return tracing::error!(why, "the new configuration is another server's and is left aside");
+        }
         let fixed = self.config.fixed(&new);
         if !fixed.is_empty() {
             tracing::warn!(changed = fixed.join(", "), "what has changed needs a restart");
@@ -57,7 +60,7 @@
             .count();
         tracing::info!(changed, "settings changed");
         self.config.settings = settings;
-        (self.slice, self.follows_health) = read_of(&self.config);
+        self.terms = SocketTerms::read(&self.config.settings);
         let mut settings = self.config.settings.clone();
         settings.set("family_info.cold", aldercrank::Value::Flag(self.cold));
         if self.rules_platform(&self.config.settings.clone()) {
--- a/crates/aldercrank-server/tests/suite/sockets.rs
+++ b/crates/aldercrank-server/tests/suite/sockets.rs
@@ -1,335 +1,12 @@
 //! The whole program on loopback sockets, between small stand-ins for the parties that it speaks to.
 
 use crate::codecs::{call, check, interrupt};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::mpsc::{channel, Receiver, Sender};
+use crate::harness::*;
+use std::io::{Read, Write};
+use std::process::Command;
+use std::sync::mpsc::channel;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-const LONG: Duration = Duration::from_secs(10);
-
-fn listen(ip: &str) -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind((ip, 0)).unwrap();
-    let addr = listener.local_addr().unwrap();
-    (listener, addr)
-}
-
-/// A place where nobody listens, nor has: a child that another test starts holds what is open here for a moment,
-/// and would take a connection, or keep the program from listening.
-fn free(ip: &str) -> SocketAddr {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    socket.set_reuse_address(true).unwrap();
-    socket.bind(&format!("{ip}:0").parse::<SocketAddr>().unwrap().into()).unwrap();
-    socket.local_addr().unwrap().as_socket().unwrap()
-}
-
-/// Where a party was away; another test's child may hold the place for a moment yet.
-fn back(addr: SocketAddr) -> TcpListener {
-    let until = Instant::now() + LONG;
-    loop {
-        match TcpListener::bind(addr) {
-            Ok(listener) => return listener,
-            Err(e) => assert!(Instant::now() < until, "{e}"),
-        }
-        std::thread::sleep(Duration::from_millis(10));
-    }
-}
-
-/// The next that comes to this place, or nothing after so long: a test must not wait for ever.
-fn within(listener: &TcpListener, span: Duration) -> Option<TcpStream> {
-    listener.set_nonblocking(true).unwrap();
-    let until = Instant::now() + span;
-    loop {
-        match listener.accept() {
-            Ok((stream, _)) => {
-                stream.set_nonblocking(false).unwrap();
-                stream.set_read_timeout(Some(span)).unwrap();
-                return Some(stream);
-            }
-            Err(_) if Instant::now() >= until => return None,
-            Err(_) => std::thread::sleep(Duration::from_millis(2)),
-        }
-    }
-}
-
-/// One link of the program to the worker pool, as the test plays it.
-struct PoolEnd {
-    reader: BufReader<TcpStream>,
-}
-
-impl PoolEnd {
-    fn accept(listener: &TcpListener) -> PoolEnd {
-        let stream = within(listener, LONG).expect("the program never dialled its pool");
-        PoolEnd { reader: BufReader::new(stream) }
-    }
-
-    fn say(&mut self, text: &str) {
-        self.reader.get_mut().write_all(text.as_bytes()).unwrap();
-    }
-
-    fn next(&mut self) -> (Vec<String>, Vec<u8>) {
-        self.command().expect("the link has closed")
-    }
-
-    /// Runs all that comes, with the same result.
-    fn serve(mut self, result: &[u8]) {
-        let mut notice = 0;
-        while let Some((words, _)) = self.command() {
-            if words[0] == "spawn" {
-                notice += 1;
-                self.finish(notice, &words[1], result);
-            }
-        }
-    }
-
-    /// The next command but polls, which are answered on the way; with the bytes that it carries.
-    fn command(&mut self) -> Option<(Vec<String>, Vec<u8>)> {
-        loop {
-            let mut line = String::new();
-            if self.reader.read_line(&mut line).unwrap_or(0) == 0 {
-                return None;
-            }
-            let words: Vec<String> = line.split_whitespace().map(str::to_string).collect();
-            if words[0] == "poll" {
-                self.say(&format!("polled {} 0.1 1 0.2 3\r\n", words[1]));
-                continue;
-            }
-            let mut bytes = Vec::new();
-            if words[0] == "spawn" || words[0] == "supply" {
-                bytes = vec![0; words.last().unwrap().parse::<usize>().unwrap() + 2];
-                self.reader.read_exact(&mut bytes).unwrap();
-                bytes.truncate(bytes.len() - 2);
-            }
-            return Some((words, bytes));
-        }
-    }
-
-    fn bound(&mut self, last: &str, age: &str) {
-        assert_eq!(self.next().0, ["bind", last]);
-        self.say(&format!("bound warm {age}\r\n"));
-    }
-
-    fn finish(&mut self, notice: u32, rid: &str, result: &[u8]) {
-        self.say(&format!("finished {notice} {rid} ok 20.5 {}\r\n", result.len()));
-        self.reader.get_mut().write_all(result).unwrap();
-        self.say("\r\n");
-    }
-}
-
-/// Takes HTTP requests, one after another on each connection, and answers as it is told.
-fn http(
-    listener: TcpListener,
-    said: Sender<String>,
-    answer: impl Fn(&str) -> Option<String> + Send + 'static + Clone,
-) {
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (mut stream, said, answer) = (stream.unwrap(), said.clone(), answer.clone());
-            std::thread::spawn(move || {
-                let mut buf = Vec::new();
-                loop {
-                    let mut chunk = [0; 4096];
-                    let n = stream.read(&mut chunk).unwrap_or(0);
-                    if n == 0 {
-                        return;
-                    }
-                    buf.extend(&chunk[..n]);
-                    let text = String::from_utf8_lossy(&buf).to_string();
-                    let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
-                    let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")).unwrap();
-                    if body.len() < length.parse().unwrap() {
-                        continue;
-                    }
-                    let _ = said.send(text.clone());
-                    buf.clear();
-                    match answer(&text) {
-                        Some(reply) => stream.write_all(reply.as_bytes()).unwrap(),
-                        None => return,
-                    }
-                }
-            });
-        }
-    });
-}
-
-struct Program {
-    told: serde_json::Value,
-    child: Child,
-    edge: SocketAddr,
-    pool: TcpListener,
-    calls: Receiver<String>,
-    reports: Receiver<String>,
-    config: std::path::PathBuf,
-    /// Parties that are away: where they would be.
-    away: Vec<(SocketAddr, Sender<String>)>,
-}
-
-impl Program {
-    fn start(answer: impl Fn(&str) -> Option<String> + Send + 'static + Clone) -> Program {
-        Program::begin(Some(answer))
-    }
-
-    /// Without an answer index and membership service are away.
-    fn begin(answer: Option<impl Fn(&str) -> Option<String> + Send + 'static + Clone>) -> Program {
-        Program::told(answer, |_| ())
-    }
-
-    /// The same, told something else in its configuration.
-    fn told(
-        answer: Option<impl Fn(&str) -> Option<String> + Send + 'static + Clone>,
-        change: impl Fn(&mut serde_json::Value),
-    ) -> Program {
-        // Each on a loopback address of its own, so that no port that is free for a moment is another's.
-        static PROGRAMS: AtomicU32 = AtomicU32::new(1);
-        let (pid, number) = (std::process::id() % 60_000, PROGRAMS.fetch_add(1, Ordering::Relaxed));
-        let ip = format!("127.{}.{}.{number}", 16 + pid / 250, 1 + pid % 250);
-        let (edge, (pool, pool_addr), (index, index_addr), (members, members_addr)) =
-            (free(&ip), listen(&ip), listen(&ip), listen(&ip));
-        let ((say_call, calls), (say_report, reports)) = (channel(), channel());
-        let mut away = Vec::new();
-        match answer {
-            Some(answer) => {
-                http(index, say_call, answer);
-                http(members, say_report, listed);
-            }
-            None => away = vec![(index_addr, say_call), (members_addr, say_report)],
-        }
-        let product = |name: &str, effect: &str| {
-            serde_json::json!({"name": name, "effect": effect, "goal_time": 2000000, "give_up": 5000000,
-                "points": 1.0, "window": 9000000})
-        };
-        let mut config = serde_json::json!({
-            "name": "n1", "listen": edge, "pool": pool_addr, "members": members_addr, "index": index_addr,
-            "seed": "1", "stop_ms": 1500, "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64},
-            "settings": {
-                "family_info": {"cores": 20, "memory_kb": 9000.0, "run_factor": 4.0, "advert": "share_of",
-                    "idle": 400000, "halt": "abort", "calls_out": 4.0, "meters": ["cpu_busy", "runnable"]},
-                "rules": {"answer_slack": 60000, "fall_multiple": 5.0, "stop_sending_within": 300000},
-                "profiles": [product("map", "retryable"), product("buy", "dedup")]}});
-        change(&mut config);
-        let path =
-            std::env::temp_dir().join(format!("aldercrank-{}-{}.json", std::process::id(), edge.port()));
-        std::fs::write(&path, config.to_string()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_aldercrank"))
-            .arg("serve")
-            .env("ROUTER_CONFIG", &path)
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
-        Program { told: config, child, edge, pool, calls, reports, config: path, away }
-    }
-
-    /// Serving, with its link to the pool.
-    fn serving(&mut self) -> PoolEnd {
-        let mut pool = PoolEnd::accept(&self.pool);
-        pool.bound("0", "3.5");
-        assert!(self.reports.recv_timeout(LONG).unwrap().ends_with("{\"phase\":\"UP\"}"));
-        pool
-    }
-
-    fn connect(&self) -> Edge {
-        let until = Instant::now() + LONG;
-        loop {
-            match TcpStream::connect(self.edge) {
-                Ok(stream) => {
-                    stream.set_read_timeout(Some(LONG)).unwrap();
-                    return Edge(stream);
-                }
-                Err(e) => assert!(Instant::now() < until, "{e}"),
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-    }
-
-    fn signal(&self, signal: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
-    }
-
-    fn term(&mut self) {
-        self.signal("-TERM");
-    }
-
-    /// The file as it was told, with these addresses in it, and the word that it is new.
-    fn reload(&self, addrs: &[(&str, SocketAddr)]) {
-        let mut told = self.told.clone();
-        addrs.iter().for_each(|(field, addr)| told[*field] = serde_json::json!(addr));
-        std::fs::write(&self.config, told.to_string()).unwrap();
-        self.signal("-HUP");
-    }
-
-    fn ended(&mut self) -> ExitStatus {
-        let until = Instant::now() + LONG;
-        loop {
-            if let Some(status) = self.child.try_wait().unwrap() {
-                return status;
-            }
-            assert!(Instant::now() < until, "still up");
-            std::thread::sleep(Duration::from_millis(10));
-        }
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.config);
-    }
-}
-
-struct Edge(TcpStream);
-
-impl Edge {
-    fn ask(&mut self, id: u32, product: &str, rid: &str, token: Option<&str>, body: &[u8]) {
-        let t0 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis().to_string();
-        let mut fields = vec![("rid", rid), ("t0", &t0), ("peer", "4"), ("budget", "3000"), ("mem", "24.5")];
-        fields.push(("prio", "0.9"));
-        fields.extend(token.map(|t| ("token", t)));
-        self.0.write_all(&call(id, product, &fields, body)).unwrap();
-    }
-
-    /// Reads until all these parts have come, one after the other; gives what came.
-    fn hears(&mut self, parts: &[&[u8]]) -> Vec<u8> {
-        let mut all = Vec::new();
-        loop {
-            let mut at = 0;
-            let found = parts.iter().all(|part| {
-                let here = all[at..].windows(part.len()).position(|w: &[u8]| w == *part);
-                at += here.map_or(0, |h| h + part.len());
-                here.is_some()
-            });
-            if found {
-                return all;
-            }
-            let mut chunk = [0; 4096];
-            let n = self.0.read(&mut chunk).unwrap();
-            assert!(n > 0, "closed after {all:?}");
-            all.extend(&chunk[..n]);
-        }
-    }
-
-    fn closes(&mut self) -> Vec<u8> {
-        let mut all = Vec::new();
-        self.0.read_to_end(&mut all).unwrap();
-        all
-    }
-}
-
-fn rid(n: u32) -> String {
-    format!("{n:016x}")
-}
-
-fn listed(_: &str) -> Option<String> {
-    Some("HTTP/1.1 204 No Content\r\n\r\n".to_string())
-}
-
-fn ok(body: &str) -> Option<String> {
-    Some(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
-}
-
 #[test]
 fn a_day_in_small_from_the_first_check_to_a_clean_end() {
     let mut program = Program::start(|_| ok("reply\r\n!"));
@@ -891,3 +568,34 @@
     // 40 MB went through by halves; a tenth of that would show a leak.
     assert!(after[1] <= before[1] + 4_000, "{before:?} {after:?}");
 }
+
+/// On a platform whose requests say nothing of how long their callers wait, every one of them was misuse.
+#[test]
+fn a_request_without_a_budget_has_the_deadline_of_its_product_where_the_settings_say_that_none_is_told() {
+    let told = |passes: bool| {
+        Program::told(Some(|_: &str| None), move |config| {
+            config["settings"]["family_info"]["passes_deadline"] = passes.into();
+            config["settings"]["profiles"][0]["goal_time"] = 300_000.into();
+            config["settings"]["profiles"][0]["give_up"] = 700_000.into();
+        })
+    };
+    let message = || {
+        let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis().to_string();
+        let fields =
+            [("rid", "00000000000000a1"), ("t0", &time), ("peer", "4"), ("mem", "24.5"), ("prio", "0.9")];
+        call(1, "map", &fields, b"")
+    };
+    let mut program = told(false);
+    let mut pool = program.serving();
+    let mut edge = program.connect();
+    edge.0.write_all(&message()).unwrap();
+    assert_eq!(pool.next().0[1], "00000000000000a1");
+    // Its run does not end: the caller has an answer by the deadline all the same.
+    edge.0.set_read_timeout(Some(Duration::from_millis(1200))).unwrap();
+    edge.hears(&[&[0x94, 1, 1, 0x92], b"Internal"]);
+    // Where requests have to say so, one that does not is still misuse.
+    let program = told(true);
+    let mut edge = program.connect();
+    edge.0.write_all(&message()).unwrap();
+    assert!(edge.closes().windows(8).any(|w| w == b"Internal"));
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -57,6 +57,37 @@
         names
     }
 
+    /// Those that are there and can't be gone by, each with what it has to be.
+    pub fn senseless(&self) -> Vec<String> {
+        let products = (0..).take_while(|i| self.text(&format!("profiles.{i}.name")).is_some()).count();
+        let of_products =
+            (0..products).flat_map(|i| OF_A_PRODUCT.iter().map(move |field| format!("profiles.{i}.{field}")));
+        let numbers = NUMBERS.iter().map(|name| name.to_string()).chain(of_products);
+        let effects = (0..products).map(|i| format!("profiles.{i}.effect"));
+        let texts = TEXTS.iter().map(|name| name.to_string()).chain(effects);
+        let there = |name: &String| self.0.contains_key(name);
+        let numbers = numbers.filter(|name| there(name) && self.num(name).is_none());
+        let texts = texts.filter(|name| there(name) && self.text(name).is_none());
+        let flags = FLAGS.iter().map(|name| name.to_string());
+        let flags = flags.filter(|name| there(name) && self.flag(name).is_none());
+        let mut all: Vec<String> = numbers.map(|name| format!("{name} is no number of 0 or more")).collect();
+        all.extend(texts.map(|name| format!("{name} is no text")));
+        all.extend(flags.map(|name| format!("{name} is neither true nor false")));
+        all.extend(self.named_twice());
+        all
+    }
+
+    /// Products of one name: nobody could tell which of them a request is of.
+    fn named_twice(&self) -> Vec<String> {
+        let mut first = BTreeMap::new();
+        let names = (0..).map_while(|i| self.text(&format!("profiles.{i}.name")).map(|name| (i, name)));
+        let twice = names.filter_map(|(i, name): (usize, &str)| {
+            let before = *first.entry(name).or_insert(i);
+            (before != i).then(|| format!("profiles.{i}.name is that of profiles.{before}: {name}"))
+        });
+        twice.collect()
+    }
+
     /// A number that is finite and not negative.
     pub fn num(&self, name: &str) -> Option<f64> {
         match self.0.get(name) {
