A caller that ends its side of the connection is answered, a reset is told from an end

Now what is open is answered and written first. A failed write is remembered, since the system tells of a reset once, and the next read would call it an end: a test on callers that go with half an answer found that. Test, failing before: crossings::a_caller_that_has_ended_its_side_gets_all_that_it_is_owed

--- a/crates/aldercrank-server/src/net/closing.rs
+++ b/crates/aldercrank-server/src/net/closing.rs
@@ -124,6 +124,23 @@
         }
     }
 
+    /// The other side says no more. That is no reset: it may still read, so what is open is answered first.
+    pub(super) fn edge_ended(&mut self, conn: ConnId) {
+        let (open, unsent) = match self.net().edge.get(conn) {
+            Some(c) => {
+                c.half_closed = true;
+                c.flush();
+                (!c.calls.is_empty(), c.link.waiting() > 0)
+            }
+            None => return,
+        };
+        match (open, unsent) {
+            (true, _) => {}
+            (false, true) => self.edge_end(conn),
+            (false, false) => self.edge_lost(conn),
+        }
+    }
+
     /// A connection has gone, or has to go at once.
     pub(super) fn edge_lost(&mut self, conn: ConnId) {
         let now = self.now();
--- a/crates/aldercrank-server/src/net/conns.rs
+++ b/crates/aldercrank-server/src/net/conns.rs
@@ -45,6 +45,8 @@
     pub(super) queued: bool,
     /// The other side has ended: it is read until that shows.
     pub(super) ended: bool,
+    /// The other side says no more, and what is open is still to be answered.
+    pub(super) half_closed: bool,
     /// It was not read when it had something, since its reader lagged.
     pub(super) unread: bool,
     /// Something has been said that is not written yet.
@@ -69,7 +71,7 @@
 impl Conn {
     pub(super) fn new(link: Link, now: Duration, dry: Duration) -> Conn {
         let (calls, judged, state, owes) = (Vec::new(), Vec::new(), State::Open, Some(now + WHOLE));
-        let (queued, ended, unread, dirty, idle) = (false, false, false, false, None);
+        let (queued, ended, half_closed, unread, dirty, idle) = (false, false, false, false, false, None);
         Conn {
             link,
             calls,
@@ -77,6 +79,7 @@
             state,
             queued,
             ended,
+            half_closed,
             unread,
             dirty,
             idle,
@@ -324,10 +327,11 @@
         let quiet = |c: &&mut Conn| c.calls.is_empty() && !c.lingering();
         let Some(c) = self.conns.get_mut(Slot(conn.0)).filter(quiet) else { return };
         c.quiet = now;
-        let state = c.state;
+        let (state, half_closed) = (c.state, c.half_closed);
         self.leave_row(conn);
         self.join_row(conn);
         match state {
+            State::Open | State::Closing if half_closed => deadlines.set(Due::Parted(conn), now),
             State::Open => {
                 if let Some(idle) = self.idle.filter(|_| deadlines.get(Due::Idle).is_none()) {
                     deadlines.set(Due::Idle, now + idle);
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -269,7 +269,8 @@
                     c.dry = now;
                 }
             }
-            Some(Got::End) => self.edge_lost(conn),
+            Some(Got::End) => self.edge_ended(conn),
+            Some(Got::Broken) => self.edge_lost(conn),
             None => {}
         }
         self.chunk = chunk;
--- a/crates/aldercrank-server/src/net/exchange.rs
+++ b/crates/aldercrank-server/src/net/exchange.rs
@@ -55,8 +55,8 @@
         loop {
             match self.link.read(chunk) {
                 Got::Dry => return None,
-                Got::End if !self.link.began() => return Some(Err(Failure::NeverAsked)),
-                Got::End => return Some(Err(Failure::Closed)),
+                Got::End | Got::Broken if !self.link.began() => return Some(Err(Failure::NeverAsked)),
+                Got::End | Got::Broken => return Some(Err(Failure::Closed)),
                 Got::Bytes(n) => self.link.input.extend_from_slice(&chunk[..n]),
             }
             match self.reader.read(&self.link.input) {
--- a/crates/aldercrank-server/src/net/link.rs
+++ b/crates/aldercrank-server/src/net/link.rs
@@ -19,8 +19,10 @@
     Bytes(usize),
     /// Nothing is there.
     Dry,
-    /// The other side has closed, or the connection broke.
+    /// The other side says no more; it may still read.
     End,
+    /// The connection broke.
+    Broken,
 }
 
 impl Got {
@@ -29,7 +31,7 @@
             Ok(0) => Got::End,
             Ok(n) => Got::Bytes(n),
             Err(rustix::io::Errno::AGAIN) => Got::Dry,
-            Err(_) => Got::End,
+            Err(_) => Got::Broken,
         }
     }
 }
@@ -47,12 +49,14 @@
     pub input: Vec<u8>,
     pub out: Out,
     connecting: bool,
+    /// A write has failed. The system tells of it once, so a later read would take it for an end.
+    broken: bool,
 }
 
 impl Link {
     fn of(stream: TcpStream, connecting: bool) -> Link {
         let (stream, out) = (Rc::new(stream), Out::default());
-        Link { stream, token: None, input: Vec::new(), out, connecting }
+        Link { stream, token: None, input: Vec::new(), out, connecting, broken: false }
     }
 
     /// Takes a connection that was accepted.
@@ -128,12 +132,16 @@
         self.out.written() > 0
     }
 
-    /// Writes what can be. An error shows at the next read; nothing is to be done about it here.
+    /// Writes what can be. An error shows at the next read.
     pub fn flush(&mut self) {
         while self.out.waiting() > 0 && !self.connecting {
             match self.out.write_to(&*self.stream) {
                 Ok(n) if n > 0 => {}
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() != ErrorKind::WouldBlock => {
+                    self.broken = true;
+                    break;
+                }
                 _ => break,
             }
         }
@@ -141,7 +149,10 @@
 
     /// Reads once, into the front of `into`.
     pub fn read(&mut self, into: &mut [u8]) -> Got {
-        Got::of(retry_on_intr(|| rustix::io::read(&*self.stream, &mut *into)))
+        match Got::of(retry_on_intr(|| rustix::io::read(&*self.stream, &mut *into))) {
+            Got::End if self.broken => Got::Broken,
+            got => got,
+        }
     }
 
     /// Reads once, behind what is left, no further than the room that was made for it.
--- a/crates/aldercrank-server/src/net/peers.rs
+++ b/crates/aldercrank-server/src/net/peers.rs
@@ -155,7 +155,7 @@
         while !ended && !peer.link.connecting() {
             match peer.link.read(chunk) {
                 Got::Dry => break,
-                Got::End => ended = true,
+                Got::End | Got::Broken => ended = true,
                 Got::Bytes(n) => peer.link.input.extend_from_slice(&chunk[..n]),
             }
         }
--- a/crates/aldercrank-server/src/net/pool.rs
+++ b/crates/aldercrank-server/src/net/pool.rs
@@ -272,7 +272,7 @@
                     }
                 }
                 Got::Dry => break false,
-                Got::End => break true,
+                Got::End | Got::Broken => break true,
             }
             if turns == TURNS {
                 self.net().pool_again = true;
--- a/crates/aldercrank-server/tests/suite/crossings.rs
+++ b/crates/aldercrank-server/tests/suite/crossings.rs
@@ -75,6 +75,24 @@
     assert!(program.ended().success());
 }
 
+/// An end is no reset: whoever says no more may still read, and is owed what it has asked for.
+#[test]
+fn a_caller_that_has_ended_its_side_gets_all_that_it_is_owed() {
+    let mut program = Program::start(|_| None);
+    let mut pool = program.serving();
+    let mut edge = program.connect_slow();
+    let requests = 20;
+    (1..=requests).for_each(|n| edge.ask(n, "map", &rid(n), None, b""));
+    edge.0.shutdown(std::net::Shutdown::Write).unwrap();
+    for n in 1..=requests {
+        let (words, _) = pool.next();
+        assert_eq!(words[0], "spawn");
+        pool.finish(n, &words[1], &[7; RESULT]);
+    }
+    std::thread::sleep(Duration::from_millis(1200));
+    assert_eq!(answers(&whole(&mut edge)), requests as usize);
+}
+
 #[test]
 fn a_request_that_comes_as_its_resting_connection_ends_is_answered() {
     let mut program = Program::start(|_| None);
