--- a/crates/aldercrank-drill/src/lib.rs
+++ b/crates/aldercrank-drill/src/lib.rs
@@ -1,6 +1,6 @@
-//! Decodes batches of the drill's wire into calls of `Brain` and encodes what it tells its host. Decides nothing.
+//! Decodes batches of the drill's wire into calls of `Admission` and encodes what it tells its host. Decides nothing.
 
-use aldercrank::{Arrival, Brain, CallerId, Host, Outcome, TxnId};
+use aldercrank::{Admission, Arrival, CallerId, Host, Outcome, TxnId};
 use serde_json::{json, Value as Json};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -66,7 +66,7 @@
 }
 
 struct Instance {
-    brain: Brain<Outbox>,
+    admission: Admission<Outbox>,
     /// The clock at its start.
     zero: u64,
 }
@@ -97,7 +97,7 @@
             for item in items {
                 self.event(i, now, item);
             }
-            let sent = self.instances.get_mut(&i).map(|s| std::mem::take(&mut s.brain.host.0));
+            let sent = self.instances.get_mut(&i).map(|s| std::mem::take(&mut s.admission.host.0));
             if let Some(actions) = sent.filter(|a| !a.is_empty()) {
                 replies.push(json!({"i": i, "actions": actions}));
             }
@@ -109,15 +109,15 @@
         let name = item.get("t").and_then(Json::as_str).unwrap_or_default();
         if name == "PowerOn" {
             let settings = item.get("env").map(aldercrank_json::settings).unwrap_or_default();
-            let brain = Brain::start(settings, Duration::ZERO, Outbox::default());
-            self.instances.insert(i, Instance { brain, zero: clock });
+            let admission = Admission::start(settings, Duration::ZERO, Outbox::default());
+            self.instances.insert(i, Instance { admission, zero: clock });
             return;
         }
         if name == "Kill" {
             self.instances.remove(&i);
             return;
         }
-        let Some(Instance { brain, zero }) = self.instances.get_mut(&i) else { return };
+        let Some(Instance { admission, zero }) = self.instances.get_mut(&i) else { return };
         let now = Duration::from_micros(clock.saturating_sub(*zero));
         let at = |field: &str| {
             item.get(field)
@@ -129,20 +129,20 @@
             |field: &str| Duration::from_micros(item.get(field).and_then(Json::as_u64).unwrap_or_default());
         let id = item.get("request_id").and_then(Json::as_u64).and_then(|n| u32::try_from(n).ok()).map(TxnId);
         match (name, id) {
-            ("NewRequest", Some(id)) => brain.txn_read(now, id, &arrival(item, at("drop_dead"))),
+            ("NewRequest", Some(id)) => admission.txn_read(now, id, &arrival(item, at("drop_dead"))),
             ("Alarm", _) => {
                 let gauges: Vec<f64> = item
                     .get("pressure")
                     .and_then(Json::as_array)
                     .map(|row| row.iter().map(|g| g.as_f64().unwrap_or_default()).collect())
                     .unwrap_or_default();
-                brain.woken(now, &gauges);
+                admission.woken(now, &gauges);
             }
-            ("WindDown", _) => brain.drain(now, at("drop_dead").unwrap_or(now)),
-            ("Awaiting", Some(id)) => brain.call_needed(now, id),
-            ("WoundUp", Some(id)) => brain.run_ended(now, id, outcome(item), span("duration")),
-            ("CallEnded", Some(id)) => brain.call_ended(now, id, outcome(item), span("duration")),
-            ("ClientGone", Some(id)) => brain.caller_gone(now, id),
+            ("WindDown", _) => admission.drain(now, at("drop_dead").unwrap_or(now)),
+            ("Awaiting", Some(id)) => admission.call_needed(now, id),
+            ("WoundUp", Some(id)) => admission.run_ended(now, id, outcome(item), span("duration")),
+            ("CallEnded", Some(id)) => admission.call_ended(now, id, outcome(item), span("duration")),
+            ("ClientGone", Some(id)) => admission.caller_gone(now, id),
             _ => {}
         }
     }
--- a/crates/aldercrank-fleet/src/book.rs
+++ b/crates/aldercrank-fleet/src/book.rs
@@ -161,7 +161,7 @@
     }
 
     pub fn inquiry(&self) -> f64 {
-        self.share(|p| p.effect == Effect::InquiryLike)
+        self.share(|p| p.effect == Effect::Idempotent)
     }
 
     pub fn by_product(&self) -> Vec<(String, f64)> {
--- a/crates/aldercrank-fleet/src/config.rs
+++ b/crates/aldercrank-fleet/src/config.rs
@@ -29,9 +29,9 @@
 
 fn effect(effect: Effect) -> &'static str {
     match effect {
-        Effect::InquiryLike => "retryable",
-        Effect::Referenced => "dedup",
-        Effect::OnceOnly => "fragile",
+        Effect::Idempotent => "retryable",
+        Effect::Keyed => "dedup",
+        Effect::Unsafe => "fragile",
     }
 }
 
--- a/crates/aldercrank-fleet/src/edges.rs
+++ b/crates/aldercrank-fleet/src/edges.rs
@@ -281,7 +281,7 @@
     ) {
         let p = &self.products[product.0 as usize];
         let number = TxnNo(self.txns.len() as u32);
-        let token = (p.effect == Effect::Referenced).then_some(u64::from(number.0) + 1);
+        let token = (p.effect == Effect::Keyed).then_some(u64::from(number.0) + 1);
         let txn = Txn {
             edge,
             product,
@@ -423,7 +423,7 @@
         (txn.seat, txn.sent) = (Some((conn, call)), now);
         txn.tried.push(server);
         let whole = txn.expiry - now;
-        let patience = self.habits.patience.filter(|_| p.effect == Effect::InquiryLike);
+        let patience = self.habits.patience.filter(|_| p.effect == Effect::Idempotent);
         let wait = patience.map_or(whole, |p| p.min(whole));
         // A millisecond is the wire's measure; what is left of one is the server's.
         let budget = (wait.as_millis() as u64).max(1);
@@ -478,9 +478,9 @@
         let edge = &mut self.edges[txn.edge.0 as usize];
         let broke = edge.known.get(&server).and_then(|k| k.broke).is_some_and(|at| at >= txn.sent);
         let may = match effect {
-            Effect::InquiryLike => true,
-            Effect::Referenced => !ran || !broke || self.habits.again,
-            Effect::OnceOnly => !ran,
+            Effect::Idempotent => true,
+            Effect::Keyed => !ran || !broke || self.habits.again,
+            Effect::Unsafe => !ran,
         };
         let budget = edge.again + 1.0 <= (edge.firsts * self.habits.retry_budget).max(10.0);
         let (last, tries) = (txn.last, txn.tries);
@@ -488,7 +488,7 @@
             return self.finish(now, number, last, ports);
         }
         edge.again += 1.0;
-        if ran && effect == Effect::Referenced {
+        if ran && effect == Effect::Keyed {
             txn.pinned = Some(server);
             return ports.wake(now + PAUSE, Wake::Again(number));
         }
--- a/crates/aldercrank-fleet/src/judge.rs
+++ b/crates/aldercrank-fleet/src/judge.rs
@@ -47,9 +47,9 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
-    InquiryLike,
-    Referenced,
-    OnceOnly,
+    Idempotent,
+    Keyed,
+    Unsafe,
 }
 
 /// What the rules need to know of a scenario.
@@ -135,7 +135,7 @@
     pub voided: u64,
     pub runs: u64,
     pub excused: u64,
-    /// Referenced txns that ran in more than one life or server, which only their callers can prevent.
+    /// Keyed txns that ran in more than one life or server, which only their callers can prevent.
     pub across: u64,
     pub broken: u64,
 }
@@ -217,7 +217,7 @@
     /// Written whole to a connection that stands, or will.
     pub fn asked(&mut self, asked: Try) {
         self.counts.tries += 1;
-        if self.terms.products[asked.product.0 as usize].1 == Effect::InquiryLike {
+        if self.terms.products[asked.product.0 as usize].1 == Effect::Idempotent {
             let place = asked.server.0 as usize;
             if self.by_server.len() <= place {
                 self.by_server.resize(place + 1, (0, 0));
@@ -278,14 +278,14 @@
             self.doubtful.push((now, asked.clone()));
         }
         let effect = self.terms.products[asked.product.0 as usize].1;
-        if declined && ran && effect != Effect::InquiryLike {
+        if declined && ran && effect != Effect::Idempotent {
             let what = "declined though it ran";
             self.breaks(now, Rule::Twice, Some(asked.rid), Some(asked.server), what);
         }
         if let Some(result) = result {
             *self.settled_in.entry((now.as_secs(), asked.server)).or_default() += 1;
             if let Some(own) = self.by_server.get_mut(asked.server.0 as usize) {
-                own.1 += u64::from(self.terms.products[asked.product.0 as usize].1 == Effect::InquiryLike);
+                own.1 += u64::from(self.terms.products[asked.product.0 as usize].1 == Effect::Idempotent);
             }
             self.made_for(now, &asked, result);
         }
@@ -400,7 +400,7 @@
                 self.breaks(now, Rule::Drain, Some(rid), Some(server), what);
             }
         }
-        let Some(token) = asked.token.filter(|_| effect == Effect::Referenced) else { return true };
+        let Some(token) = asked.token.filter(|_| effect == Effect::Keyed) else { return true };
         let runs = self.runs.entry(token).or_default();
         let here = runs.iter().find(|r| (r.server, r.life) == (server, life) && asked.asked <= r.t0 + window);
         let (again, across) = (here.map(|r| r.rid), here.is_none() && !runs.is_empty());
--- a/crates/aldercrank-fleet/src/rig/book.rs
+++ b/crates/aldercrank-fleet/src/rig/book.rs
@@ -38,9 +38,9 @@
     text += "}\n";
     for p in &scenario.products {
         let effect = match p.effect {
-            judge::Effect::InquiryLike => "inquiry-like",
-            judge::Effect::Referenced => "referenced",
-            judge::Effect::OnceOnly => "once-only",
+            judge::Effect::Idempotent => "inquiry-like",
+            judge::Effect::Keyed => "referenced",
+            judge::Effect::Unsafe => "once-only",
         };
         let window = p.window.as_millis();
         text +=
--- a/crates/aldercrank-fleet/src/rig/start.rs
+++ b/crates/aldercrank-fleet/src/rig/start.rs
@@ -13,7 +13,7 @@
     for word in sets.flat_map(|set| set.split(['|', ' '])) {
         let Some((item, value)) = word.split_once('=') else { continue };
         if item == format!("{}.effect", p.name) {
-            effect = judge::Effect::InquiryLike;
+            effect = judge::Effect::Idempotent;
         }
         if let Some(ms) = value.parse().ok().filter(|_| item == format!("{}.window-ms", p.name)) {
             window = window.min(Duration::from_millis(ms));
--- a/crates/aldercrank-fleet/tests/cores.rs
+++ b/crates/aldercrank-fleet/tests/cores.rs
@@ -206,8 +206,8 @@
 fn judge() -> Judge {
     Judge::new(judge::Terms {
         products: vec![
-            ("map-extract".into(), Effect::InquiryLike, ms(1000)),
-            ("licence-buy".into(), Effect::Referenced, ms(1000)),
+            ("map-extract".into(), Effect::Idempotent, ms(1000)),
+            ("licence-buy".into(), Effect::Keyed, ms(1000)),
         ],
         slack: ms(50),
         grace: ms(500),
--- a/crates/aldercrank-lab/src/soak.rs
+++ b/crates/aldercrank-lab/src/soak.rs
@@ -3,9 +3,9 @@
 
 use crate::HEAP;
 use aldercrank::{Arrival, Outcome, Settings, TxnId};
-use aldercrank_server::core::{Ask, CallNo, ConnId, Core, Ports, Reminder, Seat};
+use aldercrank_server::core::{Ask, CallNo, ConnId, Core, Ports, Reminder, ReplyTo};
 use aldercrank_server::deadlines::Deadlines;
-use aldercrank_server::keys::Mark;
+use aldercrank_server::dedup::DedupKey;
 use aldercrank_server::payload::Payload;
 use aldercrank_server::pool::{Notice, Rid};
 use std::cell::RefCell;
@@ -38,13 +38,13 @@
 struct Hands(Rc<RefCell<World>>);
 
 impl Ports for Hands {
-    fn settle(&mut self, _: Seat, _: Payload) {
+    fn settle(&mut self, _: ReplyTo, _: Payload) {
         self.0.borrow_mut().settled += 1;
     }
-    fn decline(&mut self, _: Seat, _: Option<Duration>, _: bool) {
+    fn decline(&mut self, _: ReplyTo, _: Option<Duration>, _: bool) {
         self.0.borrow_mut().others += 1;
     }
-    fn void(&mut self, _: Seat) {
+    fn void(&mut self, _: ReplyTo) {
         self.0.borrow_mut().others += 1;
     }
     fn spawn(&mut self, rid: Rid, _: &str, _: &Rc<[u8]>) {
@@ -119,10 +119,10 @@
 fn read(core: &mut Core<Hands>, now: Duration, n: u64) -> u64 {
     let rid = Rid::new(&format!("{n:016x}")).expect("sixteen hex digits");
     let seat =
-        Seat { conn: ConnId((n / ON_A_CONNECTION) as u32), call: CallNo((n % ON_A_CONNECTION) as u32) };
+        ReplyTo { conn: ConnId((n / ON_A_CONNECTION) as u32), call: CallNo((n % ON_A_CONNECTION) as u32) };
     let product = if n.is_multiple_of(3) { "map-extract" } else { "licence-buy" };
     let token = format!("{n:032x}");
-    let mark = (product == "licence-buy").then(|| Mark::token(product, &token, b"a body"));
+    let mark = (product == "licence-buy").then(|| DedupKey::token(product, &token, b"a body"));
     let arrival = Arrival {
         product,
         expiry: Some(now + Duration::from_secs(3)),
@@ -130,7 +130,7 @@
         rank: 0.9,
         ..Arrival::default()
     };
-    core.txn_read(now, seat, Ask { rid, mark, arrival, unread: GAP, body: b"a body" });
+    core.txn_read(now, seat, Ask { rid, dedup_key: mark, arrival, unread: GAP, body: b"a body" });
     let owed = core.owed();
     // One in a hundred has a caller that goes; a connection goes with all that is open on it.
     if n.is_multiple_of(100) {
--- a/crates/aldercrank-server/src/core/host.rs
+++ b/crates/aldercrank-server/src/core/host.rs
@@ -1,6 +1,8 @@
-//! What the module's hands do: each of its wishes carried out on the txns, the keys and the way out.
+//! Carries out what the admission module decides, on the requests in hand, the dedup table and the ports.
 
-use super::{slot, tell, Hands, Heard, Link, Ports, Reminder, Seat, Stage, Txn, AFTER_ANSWER, GAUGES_BEFORE};
+use super::{
+    slot, tell, CoreState, Delivery, Link, Ports, Reminder, ReplyTo, Stage, Txn, AFTER_ANSWER, GAUGES_BEFORE,
+};
 use crate::logger::OF_TXNS;
 use crate::pool::Rid;
 use aldercrank::{Host, Outcome, TxnId};
@@ -16,7 +18,7 @@
     }
 }
 
-impl<P: Ports> Hands<P> {
+impl<P: Ports> CoreState<P> {
     pub(super) fn txn(&mut self, id: TxnId) -> Option<&mut Txn> {
         self.txns.get_mut(slot(id))
     }
@@ -26,10 +28,10 @@
         Logged(self.txns.get(slot(id)).map(|t| t.rid))
     }
 
-    pub(super) fn seat(&mut self, id: TxnId) -> Option<Seat> {
-        let seat = self.txn(id)?.seat.take()?;
-        self.seats.remove(&seat);
-        Some(seat)
+    pub(super) fn reply_to(&mut self, id: TxnId) -> Option<ReplyTo> {
+        let reply_to = self.txn(id)?.reply_to.take()?;
+        self.replies_owed.remove(&reply_to);
+        Some(reply_to)
     }
 
     /// Nothing runs for it, nor will.
@@ -57,7 +59,7 @@
     /// Frees the slot, unless a key names it still.
     pub(super) fn release(&mut self, id: TxnId) {
         let Some(txn) = self.txns.get(slot(id)).filter(|t| t.stage == Stage::Over) else { return };
-        let named = txn.mark.as_ref().is_some_and(|mark| self.keys.names(mark, id));
+        let named = txn.dedup_key.as_ref().is_some_and(|key| self.dedup.names(key, id));
         if !named {
             self.txns.remove(slot(id));
         }
@@ -71,9 +73,9 @@
     pub(super) fn say_spawn(&mut self, id: TxnId) {
         let (link, tag) = (self.link, self.tag);
         let Some(txn) = self.txns.get_mut(slot(id)) else { return };
-        txn.heard = Heard::Unsaid;
+        txn.delivery = Delivery::Unsent;
         if let (Link::Up, Some(body)) = (link, &txn.body) {
-            txn.heard = Heard::By(tag + 1);
+            txn.delivery = Delivery::ConfirmedBy(tag + 1);
             self.ports.spawn(txn.rid, &self.products[txn.product].0, body);
         }
     }
@@ -91,15 +93,15 @@
             (None, Some((notice, _))) => self.ports.pass(txn.rid, *notice),
             (None, None) => {}
         }
-        (txn.heard, txn.passed) = (Heard::By(tag + 1), reply.is_none());
+        (txn.delivery, txn.passed) = (Delivery::ConfirmedBy(tag + 1), reply.is_none());
     }
 
     /// Nobody waits for it any more. What does not run is over, and so is a run that the pool never heard of.
     pub(super) fn unwanted(&mut self, id: TxnId) {
         let after = self.tick * AFTER_ANSWER;
-        match self.txn(id).map(|t| (t.stage, t.heard)) {
-            Some((Stage::Running, Heard::Unsaid)) => self.unsay(id),
-            Some((Stage::Running, Heard::Unknown)) => self.ports.remind(Reminder::Fate(id), after),
+        match self.txn(id).map(|t| (t.stage, t.delivery)) {
+            Some((Stage::Running, Delivery::Unsent)) => self.unsay(id),
+            Some((Stage::Running, Delivery::Unknown)) => self.ports.remind(Reminder::Fate(id), after),
             Some((Stage::Running, _)) | None => {}
             Some(_) => self.over(id),
         }
@@ -107,19 +109,19 @@
 
     /// A run that was never said ends here and now.
     pub(super) fn unsay(&mut self, id: TxnId) {
-        if self.txn(id).is_some_and(|t| t.stage == Stage::Running && t.heard == Heard::Unsaid) {
+        if self.txn(id).is_some_and(|t| t.stage == Stage::Running && t.delivery == Delivery::Unsent) {
             self.ended.push_back((id, Outcome::Superseded));
         }
     }
 }
 
-impl<P: Ports> Host for Hands<P> {
+impl<P: Ports> Host for CoreState<P> {
     fn start(&mut self, id: TxnId) {
-        let Some(txn) = self.txn(id).filter(|t| t.stage == Stage::Held) else { return };
+        let Some(txn) = self.txn(id).filter(|t| t.stage == Stage::Queued) else { return };
         txn.stage = Stage::Running;
         tell!(txn.rid, "started");
-        if let Some(mark) = txn.mark {
-            let before = self.keys.started(&mark, id);
+        if let Some(dedup_key) = txn.dedup_key {
+            let before = self.dedup.started(&dedup_key, id);
             before.into_iter().for_each(|b| self.release(b));
         }
         self.say_spawn(id);
@@ -129,7 +131,7 @@
         let link = self.link;
         let Some(txn) = self.txn(id).filter(|t| t.stage == Stage::Running) else { return };
         tell!(txn.rid, "its run is stopped");
-        if txn.heard != Heard::Unsaid && link == Link::Up {
+        if txn.delivery != Delivery::Unsent && link == Link::Up {
             let rid = txn.rid;
             self.ports.suspend(rid);
         }
@@ -138,40 +140,40 @@
 
     fn decline(&mut self, id: TxnId, back_in: Option<Duration>, last: bool) {
         tell!(self.rid(id), back_in_ms = back_in.unwrap_or_default().as_millis() as u64, last, "declined");
-        if let Some(seat) = self.seat(id) {
-            self.ports.decline(seat, back_in, last);
+        if let Some(reply_to) = self.reply_to(id) {
+            self.ports.decline(reply_to, back_in, last);
         }
         self.over(id);
     }
 
     fn void(&mut self, id: TxnId) {
         tell!(self.rid(id), "voided");
-        if let Some(seat) = self.seat(id) {
-            self.ports.void(seat);
+        if let Some(reply_to) = self.reply_to(id) {
+            self.ports.void(reply_to);
         }
         self.unwanted(id);
     }
 
     fn keep(&mut self, id: TxnId, span: Duration) {
         let (until, longest) = (self.now + span, self.longest);
-        let Some(mark) = self.txn(id).and_then(|t| t.mark) else { return };
-        if let Some((key, before)) = self.keys.keep(&mark, id, until) {
-            let after = self.keys.ends(key, longest).map_or(span, |end| end.saturating_sub(self.now));
+        let Some(dedup_key) = self.txn(id).and_then(|t| t.dedup_key) else { return };
+        if let Some((key, before)) = self.dedup.keep(&dedup_key, id, until) {
+            let after = self.dedup.ends(key, longest).map_or(span, |end| end.saturating_sub(self.now));
             self.ports.remind(Reminder::Key(key), after);
             before.into_iter().for_each(|b| self.release(b));
         }
     }
 
     fn forget(&mut self, id: TxnId) {
-        if let Some(mark) = self.txn(id).and_then(|t| t.mark) {
-            self.keys.forget(&mark, id);
+        if let Some(dedup_key) = self.txn(id).and_then(|t| t.dedup_key) {
+            self.dedup.forget(&dedup_key, id);
             self.release(id);
         }
     }
 
     fn join(&mut self, id: TxnId) {
         let now = self.now;
-        let Some(txn) = self.txn(id).filter(|t| t.stage == Stage::Held) else { return };
+        let Some(txn) = self.txn(id).filter(|t| t.stage == Stage::Queued) else { return };
         (txn.stage, txn.joined) = (Stage::Joined, now);
         tell!(txn.rid, "waits for what it repeats");
         let mut first = txn.repeats;
--- a/crates/aldercrank-server/src/core/link.rs
+++ b/crates/aldercrank-server/src/core/link.rs
@@ -6,22 +6,28 @@
     /// The link to the worker pool is lost. What it was told last may not have been heard; of the `unsaid`
     /// spawns not even the first byte went out.
     pub fn pool_lost(&mut self, now: Duration, unsaid: impl IntoIterator<Item = Rid>) {
-        let hands = self.at(now);
+        let state = self.at(now);
         for rid in unsaid {
-            let id = hands.rids.get(&rid).copied();
-            let said = |t: &&mut Txn| t.stage == Stage::Running && matches!(t.heard, Heard::By(_));
-            id.and_then(|id| hands.txn(id)).filter(said).into_iter().for_each(|t| t.heard = Heard::Unsaid);
+            let id = state.rids.get(&rid).copied();
+            let said =
+                |t: &&mut Txn| t.stage == Stage::Running && matches!(t.delivery, Delivery::ConfirmedBy(_));
+            id.and_then(|id| state.txn(id))
+                .filter(said)
+                .into_iter()
+                .for_each(|t| t.delivery = Delivery::Unsent);
             // Where nobody waits for it any more, it never will be said.
-            let id = id.filter(|id| hands.txn(*id).is_some_and(|t| t.seat.is_none()));
-            id.into_iter().for_each(|id| hands.unsay(id));
+            let id = id.filter(|id| state.txn(*id).is_some_and(|t| t.reply_to.is_none()));
+            id.into_iter().for_each(|id| state.unsay(id));
         }
-        (hands.link, hands.polling) = (Link::Down, false);
-        let answered = hands.answered;
-        for id in hands.in_hand() {
-            if let Some(txn) = hands.txn(id).filter(|t| matches!(t.heard, Heard::By(by) if by > answered)) {
-                txn.heard = Heard::Unknown;
+        (state.link, state.polling) = (Link::Down, false);
+        let answered = state.answered;
+        for id in state.in_hand() {
+            if let Some(txn) =
+                state.txn(id).filter(|t| matches!(t.delivery, Delivery::ConfirmedBy(by) if by > answered))
+            {
+                txn.delivery = Delivery::Unknown;
                 if std::mem::take(&mut txn.passed) {
-                    (txn.heard, txn.unsaid) = (Heard::Yes, Some(None));
+                    (txn.delivery, txn.unsaid) = (Delivery::Confirmed, Some(None));
                 }
             }
         }
@@ -30,15 +36,15 @@
 
     /// The pool is another one than before: nothing runs any more.
     pub fn pool_restarted(&mut self, now: Duration, cold: bool) {
-        let hands = self.at(now);
-        for id in hands.in_hand() {
-            let ran = |t: &&mut Txn| t.stage == Stage::Running && t.heard != Heard::Unsaid;
-            if hands.txn(id).filter(ran).is_some() {
-                if let Some(seat) = hands.seat(id) {
-                    hands.ports.void(seat);
+        let state = self.at(now);
+        for id in state.in_hand() {
+            let ran = |t: &&mut Txn| t.stage == Stage::Running && t.delivery != Delivery::Unsent;
+            if state.txn(id).filter(ran).is_some() {
+                if let Some(reply_to) = state.reply_to(id) {
+                    state.ports.void(reply_to);
                 }
-                hands.ports.hang_up(id);
-                hands.ended.push_back((id, Outcome::Recalled));
+                state.ports.hang_up(id);
+                state.ended.push_back((id, Outcome::Recalled));
             }
         }
         self.pool_up(now, cold);
@@ -47,33 +53,33 @@
 
     /// The link is back: notices that were missed follow, then the answer to this poll.
     pub fn pool_bound(&mut self, now: Duration) {
-        let hands = self.at(now);
-        hands.poll();
-        hands.link = Link::Replaying(hands.tag);
+        let state = self.at(now);
+        state.poll();
+        state.link = Link::Replaying(state.tag);
     }
 
     /// All missed notices are in. Says what was not said, and again what may be said twice. What must not
     /// run twice is never spawned again while its fate is unknown: it could have ended a moment ago.
     pub(super) fn link_settled(&mut self) {
-        let hands = &mut self.brain.host;
-        for id in hands.in_hand() {
-            let tick = hands.tick;
-            let Some(txn) = hands.txns.get_mut(slot(id)).filter(|t| t.stage == Stage::Running) else {
+        let state = &mut self.admission.host;
+        for id in state.in_hand() {
+            let tick = state.tick;
+            let Some(txn) = state.txns.get_mut(slot(id)).filter(|t| t.stage == Stage::Running) else {
                 continue;
             };
-            let again = txn.effect == Effect::InquiryLike && txn.blocked.is_none();
-            let (heard, unsaid, answered) = (txn.heard, txn.unsaid.take(), txn.seat.is_none());
-            match heard {
-                Heard::Unsaid => hands.say_spawn(id),
-                Heard::Unknown if again => hands.say_spawn(id),
-                Heard::Unknown if answered => hands.ports.remind(Reminder::Fate(id), tick * AFTER_ANSWER),
-                Heard::Unknown => {
-                    tracing::warn!(rid = %txn.rid, "a spawn may not have been heard: left as it is")
+            let again = txn.effect == Effect::Idempotent && txn.blocked.is_none();
+            let (delivery, unsaid, answered) = (txn.delivery, txn.unsaid.take(), txn.reply_to.is_none());
+            match delivery {
+                Delivery::Unsent => state.say_spawn(id),
+                Delivery::Unknown if again => state.say_spawn(id),
+                Delivery::Unknown if answered => state.ports.remind(Reminder::Fate(id), tick * AFTER_ANSWER),
+                Delivery::Unknown => {
+                    tracing::warn!(rid = %txn.rid, "a spawn may not have been delivery: left as it is")
                 }
                 _ => {}
             }
             if let Some(reply) = unsaid {
-                hands.say_reply(id, reply);
+                state.say_reply(id, reply);
             }
         }
     }
--- a/crates/aldercrank-server/src/core/mod.rs
+++ b/crates/aldercrank-server/src/core/mod.rs
@@ -1,7 +1,7 @@
 //! The core round the module: owns it and the txns in hand, does no I/O and has no clock. What happens comes
 //! in with its time, one method each; what is to be done goes out through `Ports`. Decides nothing.
 
-mod hands;
+mod host;
 mod link;
 mod read;
 mod rules;
@@ -9,13 +9,13 @@
 mod start;
 mod time;
 
-use crate::keys::{Fate, KeyId, Keys, Mark};
+use crate::dedup::{DedupKey, DedupTable, EntryId, Fate};
 use crate::logger::OF_TXNS;
 use crate::payload::{self, Payload};
 use crate::pool::{Notice, Rid};
 use crate::slots::{Slot, Slots};
 use aldercrank::tree::Tree;
-use aldercrank::{terms, Arrival, Brain, Effect, Outcome, Settings, SteadyMap, TxnId};
+use aldercrank::{terms, Admission, Arrival, Effect, Outcome, Settings, SteadyMap, TxnId};
 pub use aldercrank_wire::msgpack::CallNo;
 use std::collections::VecDeque;
 use std::ops::Bound;
@@ -28,7 +28,7 @@
 
 /// Where an answer is owed: a call on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Seat {
+pub struct ReplyTo {
     pub conn: ConnId,
     pub call: CallNo,
 }
@@ -41,7 +41,7 @@
     /// Gauges are wanted, a moment before the tick.
     Gauges,
     /// A kept key may go.
-    Key(KeyId),
+    Key(EntryId),
     /// A spawn whose fate is unknown may be sent again.
     Fate(TxnId),
 }
@@ -49,11 +49,11 @@
 /// How the core acts. Sockets implement it; tests fake it.
 pub trait Ports {
     /// Final answers.
-    fn settle(&mut self, seat: Seat, result: Payload);
-    fn decline(&mut self, seat: Seat, back_in: Option<Duration>, last: bool);
-    fn void(&mut self, seat: Seat);
+    fn settle(&mut self, reply_to: ReplyTo, result: Payload);
+    fn decline(&mut self, reply_to: ReplyTo, back_in: Option<Duration>, last: bool);
+    fn void(&mut self, reply_to: ReplyTo);
     /// A txn is judged by this version of the rule book; its answer says so. Said before its answer, if at all.
-    fn judged(&mut self, _seat: Seat, _version: u64) {}
+    fn judged(&mut self, _seat: ReplyTo, _version: u64) {}
     /// To the worker pool.
     fn spawn(&mut self, rid: Rid, product: &str, body: &Rc<[u8]>);
     fn suspend(&mut self, rid: Rid);
@@ -74,7 +74,7 @@
 /// A txn as it was read.
 pub struct Ask<'a> {
     pub rid: Rid,
-    pub mark: Option<Mark>,
+    pub dedup_key: Option<DedupKey>,
     pub arrival: Arrival<'a>,
     /// The longest that it can have lain unread, as we know ourselves.
     pub unread: Duration,
@@ -83,7 +83,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
-    Held,
+    Queued,
     Joined,
     Running,
     Over,
@@ -91,20 +91,20 @@
 
 /// Whether the worker pool has heard the last command that must not be said twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Heard {
-    Yes,
+enum Delivery {
+    Confirmed,
     /// Said on this link; a poll with this tag or a later one, once answered, proves that it was heard.
-    By(u64),
+    ConfirmedBy(u64),
     /// Said on a link that was lost.
     Unknown,
     /// Not said: there was no link.
-    Unsaid,
+    Unsent,
 }
 
 struct Txn {
     rid: Rid,
-    seat: Option<Seat>,
-    mark: Option<Mark>,
+    reply_to: Option<ReplyTo>,
+    dedup_key: Option<DedupKey>,
     product: usize,
     /// Of its product when it was read.
     effect: Effect,
@@ -112,7 +112,7 @@
     body: Option<Rc<[u8]>>,
     repeats: Option<TxnId>,
     stage: Stage,
-    heard: Heard,
+    delivery: Delivery,
     /// The call that the run waits for: its notice and body.
     blocked: Option<(Notice, Rc<[u8]>)>,
     called: Option<Duration>,
@@ -139,8 +139,8 @@
 /// How much of the server's memory kept results may take.
 pub const RESULTS_SHARE: f64 = 0.1;
 
-/// What the module's hands hold: the txns, the keys and the way out.
-pub struct Hands<P: Ports> {
+/// What the core keeps beside the module: the requests in hand, the dedup table and the ports.
+pub struct CoreState<P: Ports> {
     pub ports: P,
     now: Duration,
     products: Vec<(Rc<str>, Effect)>,
@@ -150,8 +150,8 @@
     tick: Duration,
     txns: Slots<Txn>,
     rids: SteadyMap<Rid, TxnId>,
-    seats: Tree<Seat, TxnId>,
-    keys: Keys,
+    replies_owed: Tree<ReplyTo, TxnId>,
+    dedup: DedupTable,
     link: Link,
     tag: u64,
     polling: bool,
@@ -170,7 +170,7 @@
 }
 
 pub struct Core<P: Ports> {
-    brain: Brain<Hands<P>>,
+    admission: Admission<CoreState<P>>,
     /// Where the service file asks for it.
     start: Option<start::Start>,
 }
@@ -190,7 +190,7 @@
 impl<P: Ports> Core<P> {
     /// `now`: how long ago the worker pool came up. `room`: bytes for the results that are kept.
     pub fn start(settings: Settings, now: Duration, room: usize, ports: P) -> Core<P> {
-        let hands = Hands {
+        let state = CoreState {
             ports,
             now,
             products: Vec::new(),
@@ -199,8 +199,8 @@
             tick: Duration::ZERO,
             txns: Slots::default(),
             rids: SteadyMap::default(),
-            seats: Tree::default(),
-            keys: Keys::new(room),
+            replies_owed: Tree::default(),
+            dedup: DedupTable::new(room),
             link: Link::Down,
             tag: 0,
             polling: false,
@@ -212,52 +212,52 @@
             unmade: VecDeque::new(),
             ended: VecDeque::new(),
         };
-        let mut core = Core { brain: Brain::start(settings.clone(), now, hands), start: None };
-        core.brain.host.goes_by(&settings);
+        let mut core = Core { admission: Admission::start(settings.clone(), now, state), start: None };
+        core.admission.host.goes_by(&settings);
         core
     }
 
     /// Txns that are held or run.
     pub fn in_hand(&self) -> usize {
-        self.brain.host.rids.len()
+        self.admission.host.rids.len()
     }
 
     /// Txns that an answer is owed to.
     pub fn owed(&self) -> usize {
-        self.brain.host.seats.len()
+        self.admission.host.replies_owed.len()
     }
 
     /// Txns that a slot is taken for, and marks that are kept, those past their window counted in.
     pub fn in_tables(&self) -> (usize, usize) {
-        (self.brain.host.txns.len(), self.brain.host.keys.len())
+        (self.admission.host.txns.len(), self.admission.host.dedup.len())
     }
 
     /// Something happens now. What time alone has changed comes first: no act before it.
-    fn at(&mut self, now: Duration) -> &mut Hands<P> {
-        self.brain.host.now = self.brain.host.now.max(now);
-        if now >= self.brain.host.lease.next() {
+    fn at(&mut self, now: Duration) -> &mut CoreState<P> {
+        self.admission.host.now = self.admission.host.now.max(now);
+        if now >= self.admission.host.lease.next() {
             self.lapse(now);
         }
-        &mut self.brain.host
+        &mut self.admission.host
     }
 
     /// Tells the module of the ends that it brought about itself.
     fn follow(&mut self) {
         self.follow_unmade();
-        while let Some((id, how)) = self.brain.host.ended.pop_front() {
-            let now = self.brain.host.now;
-            let Some(txn) = self.brain.host.txn(id) else { continue };
+        while let Some((id, how)) = self.admission.host.ended.pop_front() {
+            let now = self.admission.host.now;
+            let Some(txn) = self.admission.host.txn(id) else { continue };
             match txn.stage {
                 Stage::Joined => {
-                    let result = txn.mark.map(|mark| self.brain.host.keys.fate(&mark));
+                    let result = txn.dedup_key.map(|key| self.admission.host.dedup.fate(&key));
                     match result.filter(|_| how == Outcome::Completed) {
                         Some(Fate::Settled(bytes)) => self.end_join(id, Some(Payload::Shared(&bytes))),
                         _ => self.end_join(id, None),
                     }
                 }
                 Stage::Running => {
-                    self.brain.host.over(id);
-                    self.brain.run_ended(now, id, how, Duration::ZERO);
+                    self.admission.host.over(id);
+                    self.admission.run_ended(now, id, how, Duration::ZERO);
                 }
                 _ => {}
             }
@@ -266,23 +266,23 @@
 
     /// Answers a repeat from what it repeats.
     fn end_join(&mut self, id: TxnId, result: Option<Payload>) {
-        let hands = &mut self.brain.host;
-        let now = hands.now;
+        let state = &mut self.admission.host;
+        let now = state.now;
         let Some(took) =
-            hands.txn(id).filter(|t| t.stage == Stage::Joined).map(|t| now.saturating_sub(t.joined))
+            state.txn(id).filter(|t| t.stage == Stage::Joined).map(|t| now.saturating_sub(t.joined))
         else {
             return;
         };
-        let rid = hands.rid(id);
+        let rid = state.rid(id);
         tell!(rid, settled = result.is_some(), "answered from what it repeats");
-        if let Some(seat) = hands.seat(id) {
+        if let Some(reply_to) = state.reply_to(id) {
             match result {
-                Some(bytes) => hands.ports.settle(seat, bytes),
-                None => hands.ports.void(seat),
+                Some(bytes) => state.ports.settle(reply_to, bytes),
+                None => state.ports.void(reply_to),
             }
         }
-        hands.over(id);
+        state.over(id);
         let how = if result.is_some() { Outcome::Completed } else { Outcome::Errored };
-        self.brain.run_ended(now, id, how, took);
+        self.admission.run_ended(now, id, how, took);
     }
 }
--- a/crates/aldercrank-server/src/core/rules.rs
+++ b/crates/aldercrank-server/src/core/rules.rs
@@ -23,7 +23,7 @@
     fn leave(&self, now: Duration) -> Leave {
         match () {
             () if now < self.full => Leave::Everything,
-            () if now < self.alone => Leave::InquiryLike,
+            () if now < self.alone => Leave::Idempotent,
             () => Leave::Nothing,
         }
     }
@@ -32,7 +32,7 @@
     pub(super) fn next(&self) -> Duration {
         match self.told {
             Leave::Everything => self.full,
-            Leave::InquiryLike => self.alone,
+            Leave::Idempotent => self.alone,
             Leave::Nothing => Duration::MAX,
         }
     }
@@ -42,7 +42,7 @@
     }
 }
 
-impl<P: Ports> Hands<P> {
+impl<P: Ports> CoreState<P> {
     /// Whether calls to the index may be made: a share of the rule book is none without a lease.
     pub(super) fn may_call(&self) -> bool {
         self.share.is_none_or(|share| share > 0.0 && self.lease.told == Leave::Everything)
@@ -52,7 +52,7 @@
     pub(super) fn goes_by(&mut self, settings: &Settings) {
         let products = terms::products(settings);
         let longest = products.iter().map(|p| p.window).max().unwrap_or_default();
-        // A mark may have been made under a longer one.
+        // An entry may have been made under a longer one.
         self.longest = self.longest.max(longest);
         let key = |i: usize| format!("profiles.{i}.give_up");
         let patience = (0..products.len()).filter_map(|i| settings.span(&key(i))).max();
@@ -65,8 +65,8 @@
     /// A version of the rule book is in force: its settings hold for what is read from here on. `share`: of the index,
     /// where the version gives one.
     pub fn in_force(&mut self, now: Duration, settings: &Settings, version: u64, share: Option<f64>) {
-        let hands = self.at(now);
-        (hands.version, hands.share) = (Some(version), share);
+        let state = self.at(now);
+        (state.version, state.share) = (Some(version), share);
         self.goes_by(now, settings);
     }
 
@@ -75,35 +75,35 @@
     pub fn goes_by(&mut self, now: Duration, settings: &Settings) {
         self.at(now).goes_by(settings);
         self.start_goes_by(settings);
-        self.brain.reset(now, settings);
+        self.admission.reset(now, settings);
         self.follow();
     }
 
     /// Everything may be taken until `full`, and what may run again until `alone`.
     pub fn leased(&mut self, now: Duration, full: Duration, alone: Duration) {
-        let hands = self.at(now);
-        (hands.lease.full, hands.lease.alone) = (full, alone.max(full));
+        let state = self.at(now);
+        (state.lease.full, state.lease.alone) = (full, alone.max(full));
         self.lapse(now);
         self.follow();
     }
 
     /// Calls that could not be made never ran; the module goes on without them, or later.
     pub(super) fn follow_unmade(&mut self) {
-        while let Some(id) = self.brain.host.unmade.pop_front() {
-            let now = self.brain.host.now;
-            let made = self.brain.host.txn(id).and_then(|txn| txn.called.take());
+        while let Some(id) = self.admission.host.unmade.pop_front() {
+            let now = self.admission.host.now;
+            let made = self.admission.host.txn(id).and_then(|txn| txn.called.take());
             if made.is_some() {
-                self.brain.call_ended(now, id, Outcome::Unreachable, Duration::ZERO);
+                self.admission.call_ended(now, id, Outcome::Unreachable, Duration::ZERO);
             }
         }
     }
 
     /// Tells the module what may be taken, where that has changed.
     pub(super) fn lapse(&mut self, now: Duration) {
-        let lease = &mut self.brain.host.lease;
+        let lease = &mut self.admission.host.lease;
         let leave = lease.leave(now);
         if std::mem::replace(&mut lease.told, leave) != leave {
-            self.brain.leave(now, leave);
+            self.admission.leave(now, leave);
         }
     }
 }
--- a/crates/aldercrank-server/src/dedup.rs
+++ b/crates/aldercrank-server/src/dedup.rs
@@ -13,20 +13,20 @@
 
 /// What links a txn with its repeats, in as many bytes whatever was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Mark {
+pub enum DedupKey {
     Token([u64; 2]),
     Subject([u64; 2]),
 }
 
-impl Mark {
+impl DedupKey {
     /// All tries of one txn carry one product and one body. A token that comes with others is no repeat: it is
     /// neither answered from the first, nor does it stand in the way of the true one where it comes first.
-    pub fn token(product: &str, token: &str, body: &[u8]) -> Mark {
-        Mark::Token(digest(&(product, token, body)))
+    pub fn token(product: &str, token: &str, body: &[u8]) -> DedupKey {
+        DedupKey::Token(digest(&(product, token, body)))
     }
 
-    pub fn subject(product: &str, subject: &str) -> Mark {
-        Mark::Subject(digest(&(product, subject)))
+    pub fn subject(product: &str, subject: &str) -> DedupKey {
+        DedupKey::Subject(digest(&(product, subject)))
     }
 }
 
@@ -39,7 +39,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct KeyId(u32);
+pub struct EntryId(u32);
 
 /// What a kept txn's run has come to.
 #[derive(Clone, Debug, PartialEq)]
@@ -51,7 +51,7 @@
 }
 
 struct Entry {
-    mark: Mark,
+    mark: DedupKey,
     holder: TxnId,
     /// The try that ran, and what it came to.
     ran: Option<TxnId>,
@@ -61,33 +61,33 @@
     until: Duration,
 }
 
-pub struct Keys {
+pub struct DedupTable {
     entries: Slots<Entry>,
-    marks: SteadyMap<Mark, KeyId>,
+    marks: SteadyMap<DedupKey, EntryId>,
     /// Those with a result, in the order in which the results came, and what they take.
-    results: Tree<u64, KeyId>,
+    results: Tree<u64, EntryId>,
     results_ever: u64,
     bytes: usize,
     room: usize,
 }
 
-impl Keys {
-    pub fn new(room: usize) -> Keys {
+impl DedupTable {
+    pub fn new(room: usize) -> DedupTable {
         let (entries, marks, results) = (Slots::default(), SteadyMap::default(), Tree::default());
-        Keys { entries, marks, results, results_ever: 0, bytes: 0, room }
+        DedupTable { entries, marks, results, results_ever: 0, bytes: 0, room }
     }
 
-    fn entry(&mut self, mark: &Mark) -> Option<&mut Entry> {
+    fn entry(&mut self, mark: &DedupKey) -> Option<&mut Entry> {
         let key = self.marks.get(mark)?;
         self.entries.get_mut(Slot(key.0))
     }
 
     /// The txn that one with this mark repeats: the one that holds the entry, or, where it has run out since
     /// the repeat came to the machine, the one that ran.
-    pub fn repeated(&mut self, mark: &Mark, arrived: Duration, now: Duration) -> Option<TxnId> {
+    pub fn repeated(&mut self, mark: &DedupKey, arrived: Duration, now: Duration) -> Option<TxnId> {
         let entry = self.entry(mark).filter(|e| arrived <= e.until)?;
         // A read may run again; one that came to nothing is no source for others.
-        if matches!(mark, Mark::Subject(..)) && entry.fate == Fate::Lost {
+        if matches!(mark, DedupKey::Subject(..)) && entry.fate == Fate::Lost {
             return None;
         }
         Some(if now <= entry.until { entry.holder } else { entry.ran.unwrap_or(entry.holder) })
@@ -95,7 +95,7 @@
 
     /// Enters a txn or renews its entry; a repeat takes the entry over. Gives the entry, and the txn that it
     /// named before. Nothing when the table is full.
-    pub fn keep(&mut self, mark: &Mark, txn: TxnId, until: Duration) -> Option<(KeyId, Option<TxnId>)> {
+    pub fn keep(&mut self, mark: &DedupKey, txn: TxnId, until: Duration) -> Option<(EntryId, Option<TxnId>)> {
         if let Some(entry) = self.entry(mark) {
             let before = std::mem::replace(&mut entry.holder, txn);
             entry.until = entry.until.max(until);
@@ -103,7 +103,7 @@
             return Some((self.marks[mark], Some(before).filter(|_| !named)));
         }
         let entry = Entry { mark: *mark, holder: txn, ran: None, fate: Fate::Open, kept: 0, until };
-        let key = KeyId(self.entries.insert(entry)?.0);
+        let key = EntryId(self.entries.insert(entry)?.0);
         self.marks.insert(*mark, key);
         Some((key, None))
     }
@@ -121,12 +121,12 @@
         self.entries.is_empty()
     }
 
-    pub fn names(&mut self, mark: &Mark, txn: TxnId) -> bool {
+    pub fn names(&mut self, mark: &DedupKey, txn: TxnId) -> bool {
         self.entry(mark).is_some_and(|e| e.holder == txn || e.ran == Some(txn))
     }
 
     /// Drops the entry of a txn that has not run. One whose try has run stays, whoever holds it.
-    pub fn forget(&mut self, mark: &Mark, txn: TxnId) {
+    pub fn forget(&mut self, mark: &DedupKey, txn: TxnId) {
         let Some(entry) = self.entry(mark).filter(|e| e.holder == txn) else { return };
         match entry.ran {
             Some(ran) => entry.holder = ran,
@@ -135,7 +135,7 @@
     }
 
     /// It runs. Gives the txn that ran before, whose window is over and whose result goes.
-    pub fn started(&mut self, mark: &Mark, txn: TxnId) -> Option<TxnId> {
+    pub fn started(&mut self, mark: &DedupKey, txn: TxnId) -> Option<TxnId> {
         let key = *self.marks.get(mark)?;
         self.drop_result(key);
         let entry = self.entry(mark).filter(|e| e.holder == txn)?;
@@ -144,7 +144,7 @@
     }
 
     /// The run never began: there is nothing to repeat, and the next try is not kept from running.
-    pub fn never_ran(&mut self, mark: &Mark, txn: TxnId) {
+    pub fn never_ran(&mut self, mark: &DedupKey, txn: TxnId) {
         let Some(entry) = self.entry(mark).filter(|e| e.ran == Some(txn)) else { return };
         entry.ran = None;
         if entry.holder == txn {
@@ -153,7 +153,7 @@
     }
 
     /// The run has ended, with a result where it went well.
-    pub fn ended(&mut self, mark: &Mark, txn: TxnId, result: Option<Payload>) {
+    pub fn ended(&mut self, mark: &DedupKey, txn: TxnId, result: Option<Payload>) {
         let number = self.results_ever;
         let Some(entry) = self.entry(mark).filter(|e| e.ran == Some(txn)) else { return };
         entry.fate = result.map_or(Fate::Lost, |result| Fate::Settled(result.keep()));
@@ -170,11 +170,11 @@
         }
     }
 
-    pub fn fate(&mut self, mark: &Mark) -> Fate {
+    pub fn fate(&mut self, mark: &DedupKey) -> Fate {
         self.entry(mark).map_or(Fate::Lost, |e| e.fate.clone())
     }
 
-    fn drop_result(&mut self, key: KeyId) {
+    fn drop_result(&mut self, key: EntryId) {
         if let Some(entry) = self.entries.get_mut(Slot(key.0)) {
             if let Fate::Settled(bytes) = std::mem::replace(&mut entry.fate, Fate::Lost) {
                 self.bytes -= bytes.len();
@@ -183,7 +183,7 @@
         }
     }
 
-    fn drop_entry(&mut self, key: KeyId) {
+    fn drop_entry(&mut self, key: EntryId) {
         self.drop_result(key);
         if let Some(entry) = self.entries.remove(Slot(key.0)) {
             self.marks.remove(&entry.mark);
@@ -191,12 +191,12 @@
     }
 
     /// When the entry may go: late repeats are linked for `after` beyond its end.
-    pub fn ends(&self, key: KeyId, after: Duration) -> Option<Duration> {
+    pub fn ends(&self, key: EntryId, after: Duration) -> Option<Duration> {
         self.entries.get(Slot(key.0)).map(|e| e.until + after)
     }
 
     /// Drops an entry; gives the txns that it named.
-    pub fn lapse(&mut self, key: KeyId) -> Vec<TxnId> {
+    pub fn lapse(&mut self, key: EntryId) -> Vec<TxnId> {
         let entry = self.entries.get(Slot(key.0));
         let named = entry.map(|e| e.ran.into_iter().chain([e.holder]).collect()).unwrap_or_default();
         self.drop_entry(key);
--- a/crates/aldercrank-server/src/lib.rs
+++ b/crates/aldercrank-server/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod config;
 pub mod core;
 pub mod deadlines;
-pub mod keys;
+pub mod dedup;
 pub mod logger;
 pub mod net;
 pub mod operate;
--- a/crates/aldercrank-server/src/net/closing.rs
+++ b/crates/aldercrank-server/src/net/closing.rs
@@ -5,7 +5,7 @@
 
 use super::edge::Misuse;
 use super::Server;
-use crate::core::{ConnId, Seat};
+use crate::core::{ConnId, ReplyTo};
 
 /// Connections that are looked at to make room for another.
 const LOOKS: usize = 8;
@@ -75,7 +75,7 @@
     pub(super) fn edge_misused(&mut self, conn: ConnId, why: Misuse) {
         tracing::warn!(conn = conn.0, %why, "a connection closes");
         let open = self.net().edge.get(conn).map(|c| c.calls.clone()).unwrap_or_default();
-        open.into_iter().for_each(|call| self.refuse(Seat { conn, call }, false));
+        open.into_iter().for_each(|call| self.refuse(ReplyTo { conn, call }, false));
         self.edge_end(conn);
     }
 
--- a/crates/aldercrank-server/src/net/conns.rs
+++ b/crates/aldercrank-server/src/net/conns.rs
@@ -8,7 +8,7 @@
 
 use super::link::{Link, Loop};
 use super::Due;
-use crate::core::{CallNo, ConnId, Seat};
+use crate::core::{CallNo, ConnId, ReplyTo};
 use crate::deadlines::Deadlines;
 use crate::msgpack::{self, Beside};
 use crate::payload::Out;
@@ -305,20 +305,20 @@
     }
 
     /// Says an answer; a call that is not open any more has nobody to read it.
-    pub fn answer(&mut self, seat: Seat, write: impl FnOnce(&mut Out, Beside)) {
-        let Some(c) = self.get(seat.conn) else { return };
-        if let Some(at) = c.calls.iter().position(|call| *call == seat.call) {
+    pub fn answer(&mut self, reply_to: ReplyTo, write: impl FnOnce(&mut Out, Beside)) {
+        let Some(c) = self.get(reply_to.conn) else { return };
+        if let Some(at) = c.calls.iter().position(|call| *call == reply_to.call) {
             c.calls.remove(at);
-            let place = c.judged.iter().position(|(call, _)| *call == seat.call);
+            let place = c.judged.iter().position(|(call, _)| *call == reply_to.call);
             let judged = place.map(|at| c.judged.swap_remove(at).1);
-            self.say_judged(seat.conn, judged, write);
+            self.say_judged(reply_to.conn, judged, write);
         }
     }
 
     /// An open call is judged by this version of the rule book.
-    pub fn judge(&mut self, seat: Seat, version: u64) {
-        if let Some(c) = self.get(seat.conn).filter(|c| c.calls.contains(&seat.call)) {
-            c.judged.push((seat.call, version));
+    pub fn judge(&mut self, reply_to: ReplyTo, version: u64) {
+        if let Some(c) = self.get(reply_to.conn).filter(|c| c.calls.contains(&reply_to.call)) {
+            c.judged.push((reply_to.call, version));
         }
     }
 
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -5,8 +5,8 @@
 use super::wait::{Ready, Whose};
 use super::{Due, Server};
 use crate::clock::Clock;
-use crate::core::{Ask, CallNo, ConnId, Seat};
-use crate::keys::Mark;
+use crate::core::{Ask, CallNo, ConnId, ReplyTo};
+use crate::dedup::DedupKey;
 use crate::msgpack::{self, Edge, Fields};
 use crate::payload::count;
 use crate::pool::{Rid, BYTES};
@@ -85,9 +85,9 @@
         // found dry has been read then.
         let dry = self.server.net().edge.get(self.conn).map_or(now, |c| c.dry);
         let unread = now.saturating_sub(dry);
-        let mark = match (fields.token, fields.obj) {
-            (Some(token), _) => Some(Mark::token(method, token, body)),
-            (None, Some(obj)) => Some(Mark::subject(method, obj)),
+        let dedup_key = match (fields.token, fields.obj) {
+            (Some(token), _) => Some(DedupKey::token(method, token, body)),
+            (None, Some(obj)) => Some(DedupKey::subject(method, obj)),
             (None, None) => None,
         };
         let memory_kb = fields.mem.ok_or(BadField::Missing("mem"))?;
@@ -110,7 +110,7 @@
             ..Arrival::default()
         };
         let rid = Rid::new(rid).ok_or(BadField::OutOfRange("rid"))?;
-        Ok(Ask { rid, mark, arrival, unread, body })
+        Ok(Ask { rid, dedup_key, arrival, unread, body })
     }
 }
 
@@ -120,11 +120,11 @@
             self.misused = Some(Misuse::Message(why));
             return;
         }
-        let seat = Seat { conn: self.conn, call };
+        let reply_to = ReplyTo { conn: self.conn, call };
         let now = self.server.now();
         match self.request(now, method, fields, body) {
-            Ok(ask) => self.server.asked(now, seat, ask),
-            Err(_) if method == msgpack::RULES && self.server.rules_asked(seat, body) => {}
+            Ok(ask) => self.server.asked(now, reply_to, ask),
+            Err(_) if method == msgpack::RULES && self.server.rules_asked(reply_to, body) => {}
             Err(why) => self.misused = Some(Misuse::Field(why)),
         }
     }
@@ -137,10 +137,10 @@
 
     fn interrupted(&mut self, call: CallNo) {
         // Nothing is owed, but one answer does no harm, and nobody is left without a word.
-        let seat = Seat { conn: self.conn, call };
+        let reply_to = ReplyTo { conn: self.conn, call };
         if self.server.net().edge.get(self.conn).is_some_and(|c| c.calls.contains(&call)) {
-            self.server.refuse(seat, false);
-            self.server.caller_gone(seat);
+            self.server.refuse(reply_to, false);
+            self.server.caller_gone(reply_to);
         }
     }
 
@@ -365,27 +365,27 @@
     }
 
     /// Answers without the module: for what makes no sense, or came when nothing can run.
-    pub(super) fn refuse(&mut self, seat: Seat, never_ran: bool) {
-        self.net().answer(seat, |out, beside| {
+    pub(super) fn refuse(&mut self, reply_to: ReplyTo, never_ran: bool) {
+        self.net().answer(reply_to, |out, beside| {
             out.words(|words| match never_ran {
-                true => msgpack::declined(words, seat.call, beside, None, false),
-                false => msgpack::voided(words, seat.call, beside),
+                true => msgpack::declined(words, reply_to.call, beside, None, false),
+                false => msgpack::voided(words, reply_to.call, beside),
             });
         });
     }
 
-    fn asked(&mut self, now: Duration, seat: Seat, ask: Ask) {
+    fn asked(&mut self, now: Duration, reply_to: ReplyTo, ask: Ask) {
         match &mut self.core {
-            Some(core) => core.txn_read(now, seat, ask),
-            None => self.refuse(seat, true),
+            Some(core) => core.txn_read(now, reply_to, ask),
+            None => self.refuse(reply_to, true),
         }
     }
 
-    fn caller_gone(&mut self, seat: Seat) {
+    fn caller_gone(&mut self, reply_to: ReplyTo) {
         let now = self.now();
         if let Some(core) = &mut self.core {
-            core.caller_gone(now, seat);
+            core.caller_gone(now, reply_to);
         }
-        self.net().rest(seat.conn);
+        self.net().rest(reply_to.conn);
     }
 }
--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::core::{ConnId, Core, Ports, Reminder, Seat, RESULTS_SHARE};
+use crate::core::{ConnId, Core, Ports, Reminder, ReplyTo, RESULTS_SHARE};
 use crate::deadlines::Deadlines;
 use crate::members::{EVERY, LAPSE};
 use crate::msgpack::{self, Beside};
@@ -104,9 +104,9 @@
 
 impl Net {
     /// Says an answer, with the free value where there is one.
-    fn answer(&mut self, seat: Seat, write: impl FnOnce(&mut Out, Beside)) {
-        self.edge.answer(seat, write);
-        self.rest(seat.conn);
+    fn answer(&mut self, reply_to: ReplyTo, write: impl FnOnce(&mut Out, Beside)) {
+        self.edge.answer(reply_to, write);
+        self.rest(reply_to.conn);
     }
 
     /// Sees to a connection on which something has come to its end.
@@ -116,25 +116,25 @@
 }
 
 impl Ports for Ways {
-    fn settle(&mut self, seat: Seat, result: Payload) {
-        self.0.borrow_mut().answer(seat, |out, beside| {
-            out.words(|words| msgpack::settled(words, seat.call, result.bytes().len()));
+    fn settle(&mut self, reply_to: ReplyTo, result: Payload) {
+        self.0.borrow_mut().answer(reply_to, |out, beside| {
+            out.words(|words| msgpack::settled(words, reply_to.call, result.bytes().len()));
             out.result(&result);
             out.words(|words| msgpack::settled_end(words, beside));
         });
     }
-    fn decline(&mut self, seat: Seat, back_in: Option<Duration>, last: bool) {
-        self.0.borrow_mut().answer(seat, |out, beside| {
-            out.words(|words| msgpack::declined(words, seat.call, beside, back_in, last));
+    fn decline(&mut self, reply_to: ReplyTo, back_in: Option<Duration>, last: bool) {
+        self.0.borrow_mut().answer(reply_to, |out, beside| {
+            out.words(|words| msgpack::declined(words, reply_to.call, beside, back_in, last));
         });
     }
-    fn void(&mut self, seat: Seat) {
-        self.0.borrow_mut().answer(seat, |out, beside| {
-            out.words(|words| msgpack::voided(words, seat.call, beside));
+    fn void(&mut self, reply_to: ReplyTo) {
+        self.0.borrow_mut().answer(reply_to, |out, beside| {
+            out.words(|words| msgpack::voided(words, reply_to.call, beside));
         });
     }
-    fn judged(&mut self, seat: Seat, version: u64) {
-        self.0.borrow_mut().edge.judge(seat, version);
+    fn judged(&mut self, reply_to: ReplyTo, version: u64) {
+        self.0.borrow_mut().edge.judge(reply_to, version);
     }
     fn spawn(&mut self, rid: Rid, product: &str, body: &Rc<[u8]>) {
         self.0.borrow_mut().pool.spawn(rid, product, body);
--- a/crates/aldercrank-server/src/net/rules.rs
+++ b/crates/aldercrank-server/src/net/rules.rs
@@ -7,7 +7,7 @@
 use super::{Due, Server};
 use crate::clock::Clock;
 use crate::config::{Config, Rules as Wanted};
-use crate::core::{ConnId, Seat};
+use crate::core::{ConnId, ReplyTo};
 use crate::members;
 use crate::msgpack;
 use aldercrank::Settings;
@@ -227,11 +227,11 @@
         rules
     }
 
-    /// Takes its seat on the committee, where the book has one for it.
+    /// Takes its place on the committee, where the book has one for it.
     fn join(&mut self, now: Duration, doc: &Doc) {
         let Some(book) = self.hand.book(&doc.stamp, &doc.text) else { return };
-        let seat = book.committee().iter().any(|(name, _)| *name == *self.hand.me.0);
-        if seat && self.member.is_none() {
+        let on_committee = book.committee().iter().any(|(name, _)| *name == *self.hand.me.0);
+        if on_committee && self.member.is_none() {
             let (id, votes) = ((self.hand.me.clone(), self.life), self.hand.memory.votes());
             let remembers = votes.is_some();
             self.life += 1;
@@ -372,7 +372,7 @@
         net.deadlines.set(Due::Rules, at);
     }
 
-    /// A version is in force here: kept, told to the core, and this server's seat taken where it gives one.
+    /// A version is in force here: kept, told to the core, and this server's place on the committee taken where it gives one.
     fn rules_in_force(
         &mut self,
         rules: &mut Rules,
@@ -486,7 +486,7 @@
     }
 
     /// Another server, or an operator, asks about the rule book. False where there is none, or it makes no sense.
-    pub(super) fn rules_asked(&mut self, seat: Seat, body: &[u8]) -> bool {
+    pub(super) fn rules_asked(&mut self, reply_to: ReplyTo, body: &[u8]) -> bool {
         let Ok(ask) = rmp_serde::from_slice::<Ask>(body) else { return false };
         let mut told = None;
         let start = self.core.as_ref().and_then(|core| core.started());
@@ -500,16 +500,16 @@
                     Told::Silent
                 }
                 (Ask::Renew { from, .. }, Some(member)) => {
-                    rules.attached.insert(from.clone(), seat.conn);
+                    rules.attached.insert(from.clone(), reply_to.conn);
                     member.asked(now, ask, &mut AsMember(&mut rules.hand))
                 }
                 (_, Some(member)) => member.asked(now, ask, &mut AsMember(&mut rules.hand)),
             });
         });
         let Some(bytes) = told.and_then(|told| rmp_serde::to_vec(&told).ok()) else { return false };
-        self.net().answer(seat, |out, beside| {
+        self.net().answer(reply_to, |out, beside| {
             out.words(|words| {
-                msgpack::settled(words, seat.call, bytes.len());
+                msgpack::settled(words, reply_to.call, bytes.len());
                 words.extend_from_slice(&bytes);
                 msgpack::settled_end(words, beside);
             });
--- a/crates/aldercrank-server/tests/suite/core.rs
+++ b/crates/aldercrank-server/tests/suite/core.rs
@@ -1,9 +1,9 @@
 //! The core between fakes: the four rules on generated inputs beside a plain model, and single cases.
 
 use aldercrank::{Arrival, CallerId, Outcome, Settings, TxnId, Value};
-use aldercrank_server::core::{Ask, CallNo, ConnId, Core, Ports, Reminder, Seat};
+use aldercrank_server::core::{Ask, CallNo, ConnId, Core, Ports, Reminder, ReplyTo};
 use aldercrank_server::deadlines::Deadlines;
-use aldercrank_server::keys::Mark;
+use aldercrank_server::dedup::DedupKey;
 use aldercrank_server::payload::Payload;
 use aldercrank_server::pool::{Notice as Number, Rid};
 use quickcheck::{Gen, QuickCheck, TestResult};
@@ -53,7 +53,7 @@
 struct World {
     now: Duration,
     reminders: Deadlines<Reminder>,
-    seen: BTreeMap<Seat, Seen>,
+    seen: BTreeMap<ReplyTo, Seen>,
     runs: BTreeMap<Rid, Run>,
     began: Vec<(u8, Duration)>,
     /// Said but not read by the pool; and heard by us up to this notice.
@@ -126,8 +126,8 @@
         self.runs.insert(rid, Run::Going);
     }
 
-    fn answer(&mut self, seat: Seat, declined: bool) {
-        let Some(seen) = self.seen.get_mut(&seat) else { return };
+    fn answer(&mut self, reply_to: ReplyTo, declined: bool) {
+        let Some(seen) = self.seen.get_mut(&reply_to) else { return };
         seen.answers += 1;
         let (twice, rid) = (seen.answers > 1, seen.rid);
         if twice {
@@ -156,11 +156,11 @@
 }
 
 impl Ports for Fake {
-    fn settle(&mut self, seat: Seat, bytes: Payload) {
+    fn settle(&mut self, reply_to: ReplyTo, bytes: Payload) {
         let bytes = bytes.bytes();
         let mut w = self.0.borrow_mut();
-        w.answer(seat, false);
-        let seen = w.seen[&seat].clone();
+        w.answer(reply_to, false);
+        let seen = w.seen[&reply_to].clone();
         let made = |s: &Seen| {
             result(s.rid) == bytes && (s.rid == seen.rid || s.token == seen.token && s.token.is_some())
         };
@@ -168,11 +168,11 @@
             w.broken.push(format!("{} has a result that no run made for it", seen.rid));
         }
     }
-    fn decline(&mut self, seat: Seat, _: Option<Duration>, _: bool) {
-        self.0.borrow_mut().answer(seat, true);
+    fn decline(&mut self, reply_to: ReplyTo, _: Option<Duration>, _: bool) {
+        self.0.borrow_mut().answer(reply_to, true);
     }
-    fn void(&mut self, seat: Seat) {
-        self.0.borrow_mut().answer(seat, false);
+    fn void(&mut self, reply_to: ReplyTo) {
+        self.0.borrow_mut().answer(reply_to, false);
     }
     fn spawn(&mut self, rid: Rid, product: &str, body: &Rc<[u8]>) {
         self.say(Said::Spawn(rid, product.to_string(), body.to_vec()));
@@ -242,15 +242,15 @@
         self.world.0.borrow().now
     }
 
-    fn read(&mut self, token: Option<u8>, left: Duration, lay: Duration) -> Seat {
+    fn read(&mut self, token: Option<u8>, left: Duration, lay: Duration) -> ReplyTo {
         self.next += 1;
         let (now, call) = (self.now(), self.next);
         let (arrived, expiry) = (now.saturating_sub(lay), now + left);
         let rid = Rid::new(&format!("{call:016x}")).unwrap();
-        let seat = Seat { conn: ConnId(call % 3), call: CallNo(call) };
+        let reply_to = ReplyTo { conn: ConnId(call % 3), call: CallNo(call) };
         let body = vec![call as u8; 3];
         let seen = Seen { rid, token, arrived, expiry, body: body.clone(), answers: 0, gone: false };
-        self.world.0.borrow_mut().seen.insert(seat, seen);
+        self.world.0.borrow_mut().seen.insert(reply_to, seen);
         let product = if token.is_some() { "p1" } else { "p0" };
         let arrival = Arrival {
             product,
@@ -261,9 +261,9 @@
             caller: CallerId(1),
             ..Arrival::default()
         };
-        let mark = token.map(|t| Mark::token("p1", &t.to_string(), b""));
-        self.core.txn_read(now, seat, Ask { rid, mark, arrival, unread: lay, body: &body });
-        seat
+        let mark = token.map(|t| DedupKey::token("p1", &t.to_string(), b""));
+        self.core.txn_read(now, reply_to, Ask { rid, dedup_key: mark, arrival, unread: lay, body: &body });
+        reply_to
     }
 
     /// The pool reads what was said, and we read its notices.
@@ -378,16 +378,16 @@
         self.core.call_ended(self.now(), call.0, how, &call.1);
     }
 
-    fn gone(&mut self, seat: Seat) {
+    fn gone(&mut self, reply_to: ReplyTo) {
         let open =
-            self.world.0.borrow_mut().seen.get_mut(&seat).map(|s| std::mem::replace(&mut s.gone, true));
+            self.world.0.borrow_mut().seen.get_mut(&reply_to).map(|s| std::mem::replace(&mut s.gone, true));
         if open == Some(false) {
-            self.core.caller_gone(self.now(), seat);
+            self.core.caller_gone(self.now(), reply_to);
         }
     }
 
-    fn answers(&self, seat: Seat) -> u32 {
-        self.world.0.borrow().seen[&seat].answers
+    fn answers(&self, reply_to: ReplyTo) -> u32 {
+        self.world.0.borrow().seen[&reply_to].answers
     }
 
     fn began(&self, token: u8) -> usize {
@@ -442,8 +442,8 @@
         13 => play.lose_unwritten(usize::from(which % 4), usize::from(which / 4 % 5)),
         14 => play.bind(),
         15 => {
-            let seat = play.world.0.borrow().seen.keys().nth(usize::from(which)).copied();
-            seat.into_iter().for_each(|seat| play.gone(seat));
+            let reply_to = play.world.0.borrow().seen.keys().nth(usize::from(which)).copied();
+            reply_to.into_iter().for_each(|reply_to| play.gone(reply_to));
         }
         _ => play.pass(MS * u32::from(much % 500 + 1)),
     }
@@ -518,7 +518,7 @@
 #[test]
 fn of_a_batch_cut_off_midway_what_had_not_begun_to_be_written_is_said_again() {
     let mut play = Play::new();
-    let seats = [1, 2, 3].map(|token| play.read(Some(token), MS * 1500, MS));
+    let replies_owed = [1, 2, 3].map(|token| play.read(Some(token), MS * 1500, MS));
     // The first was read, the second lost on the way, the third never written.
     play.lose_unwritten(1, 1);
     play.bind();
@@ -526,7 +526,7 @@
     assert_eq!([1, 2, 3].map(|token| play.began(token)), [1, 0, 1]);
     play.pass(MS * 2000);
     play.flow();
-    assert_eq!(seats.map(|seat| play.answers(seat)), [1, 1, 1]);
+    assert_eq!(replies_owed.map(|reply_to| play.answers(reply_to)), [1, 1, 1]);
     assert!(play.world.0.borrow().broken.is_empty());
 
     // One whose caller has gone by then is not said at all.
@@ -587,14 +587,18 @@
         (901, "p1", Rid::new("00000000000000fe").unwrap(), None),
         (902, "p0", rid, None),
     ] {
-        let seat = Seat { conn: ConnId(9), call: CallNo(call) };
+        let reply_to = ReplyTo { conn: ConnId(9), call: CallNo(call) };
         let seen = play.world.0.borrow().seen[&good].clone();
         let odd = Seen { rid: Rid::new(&format!("{call:016}")).unwrap(), answers: 0, ..seen };
-        play.world.0.borrow_mut().seen.insert(seat, odd);
+        play.world.0.borrow_mut().seen.insert(reply_to, odd);
         let arrival = Arrival { product, expiry: Some(MS * 2000), ..Arrival::default() };
-        play.core.txn_read(play.now(), seat, Ask { rid, mark, arrival, unread: Duration::MAX, body: &[] });
+        play.core.txn_read(
+            play.now(),
+            reply_to,
+            Ask { rid, dedup_key: mark, arrival, unread: Duration::MAX, body: &[] },
+        );
         play.flow();
-        assert_eq!((play.answers(seat), play.world.0.borrow().runs.len()), (1, 1), "{product}");
+        assert_eq!((play.answers(reply_to), play.world.0.borrow().runs.len()), (1, 1), "{product}");
     }
     // A run that the pool does not know is over, and its place is free.
     let unknown = play.read(None, MS * 2000, MS);
@@ -612,7 +616,7 @@
 #[test]
 fn a_connection_that_is_lost_takes_its_callers_with_it_and_a_drain_leaves_nothing_owed() {
     let mut play = Play::new();
-    let seats: Vec<Seat> = (0..9).map(|_| play.read(None, MS * 3000, MS)).collect();
+    let replies_owed: Vec<ReplyTo> = (0..9).map(|_| play.read(None, MS * 3000, MS)).collect();
     let now = play.now();
     play.world
         .0
@@ -622,7 +626,7 @@
         .filter(|(s, _)| s.conn == ConnId(1))
         .for_each(|(_, s)| s.gone = true);
     play.core.conn_lost(now, ConnId(1));
-    let open = seats.iter().filter(|s| s.conn != ConnId(1) && play.answers(**s) == 0).count();
+    let open = replies_owed.iter().filter(|s| s.conn != ConnId(1) && play.answers(**s) == 0).count();
     assert_eq!(play.core.owed(), open);
     play.core.drain(now, now + MS * 1500);
     play.pass(MS * 1100);
@@ -656,12 +660,12 @@
 #[test]
 fn a_pool_that_is_another_one_has_all_runs_voided_and_their_places_are_free() {
     let mut play = Play::new();
-    let seats = [play.read(Some(1), MS * 2000, MS), play.read(None, MS * 2000, MS)];
+    let replies_owed = [play.read(Some(1), MS * 2000, MS), play.read(None, MS * 2000, MS)];
     play.flow();
     play.lose(0);
     let unsaid = play.read(None, MS * 2000, MS);
     play.core.pool_restarted(play.now(), false);
-    assert_eq!((seats.map(|s| play.answers(s)), play.core.in_hand()), ([1, 1], 1));
+    assert_eq!((replies_owed.map(|s| play.answers(s)), play.core.in_hand()), ([1, 1], 1));
     play.bind();
     play.flow();
     assert_eq!(play.world.0.borrow().runs.len(), 3);
@@ -676,15 +680,19 @@
     let mut play = Play::new();
     play.pass(MS * 500);
     // One that came in 1970, by its word: gone long ago, declined, and no proof of slow reading.
-    let seat = Seat { conn: ConnId(8), call: CallNo(1) };
+    let reply_to = ReplyTo { conn: ConnId(8), call: CallNo(1) };
     let rid = Rid::new("00000000000000aa").unwrap();
     let (arrived, expiry) = (Duration::ZERO, play.now());
     let seen = Seen { rid, token: None, arrived, expiry, body: vec![], answers: 0, gone: false };
-    play.world.0.borrow_mut().seen.insert(seat, seen);
+    play.world.0.borrow_mut().seen.insert(reply_to, seen);
     let lay = Duration::from_secs(1_700_000_000);
     let arrival = Arrival { product: "p0", expiry: Some(play.now()), lay, ..Arrival::default() };
-    play.core.txn_read(play.now(), seat, Ask { rid, mark: None, arrival, unread: Duration::MAX, body: &[] });
-    assert_eq!(play.answers(seat), 1);
+    play.core.txn_read(
+        play.now(),
+        reply_to,
+        Ask { rid, dedup_key: None, arrival, unread: Duration::MAX, body: &[] },
+    );
+    assert_eq!(play.answers(reply_to), 1);
     for _ in 0..10 {
         play.pass(MS * 50);
         play.flow();
@@ -700,13 +708,13 @@
         play.pass(MS * 2500);
         for call in 0..60 {
             let rid = Rid::new(&format!("{:016x}", 7000 + call)).unwrap();
-            let (seat, now) = (Seat { conn: ConnId(7), call: CallNo(call) }, play.now());
+            let (reply_to, now) = (ReplyTo { conn: ConnId(7), call: CallNo(call) }, play.now());
             let (lay, expiry) = (MS * 2000, now + MS * 200);
             let seen =
                 Seen { rid, token: None, arrived: now - lay, expiry, body: vec![], answers: 0, gone: false };
-            play.world.0.borrow_mut().seen.insert(seat, seen);
+            play.world.0.borrow_mut().seen.insert(reply_to, seen);
             let arrival = Arrival { product: "p0", expiry: Some(expiry), lay, ..Arrival::default() };
-            play.core.txn_read(now, seat, Ask { rid, mark: None, arrival, unread, body: &[] });
+            play.core.txn_read(now, reply_to, Ask { rid, dedup_key: None, arrival, unread, body: &[] });
             play.flow();
         }
         play.pass(MS * 100);
@@ -714,10 +722,10 @@
     }
 }
 
-/// How a seat was answered: not yet, declined without a run, or otherwise.
-fn answers(play: &Play, seat: Seat) -> (u32, bool) {
+/// How a call was answered: not yet, declined without a run, or otherwise.
+fn answers(play: &Play, reply_to: ReplyTo) -> (u32, bool) {
     let w = play.world.0.borrow();
-    (w.seen[&seat].answers, w.runs.contains_key(&w.seen[&seat].rid))
+    (w.seen[&reply_to].answers, w.runs.contains_key(&w.seen[&reply_to].rid))
 }
 
 #[test]
@@ -725,16 +733,20 @@
     let mut play = Play::new();
     let now = play.now();
     play.core.leased(now, now + MS * 1000, now + MS * 2500);
-    let all: Vec<Seat> = (0..9).map(|n| play.read(Some(n), MS * 2900, Duration::ZERO)).collect();
+    let all: Vec<ReplyTo> = (0..9).map(|n| play.read(Some(n), MS * 2900, Duration::ZERO)).collect();
     play.flow();
-    let held: Vec<Seat> = all.into_iter().filter(|seat| answers(&play, *seat) == (0, false)).collect();
+    let held: Vec<ReplyTo> =
+        all.into_iter().filter(|reply_to| answers(&play, *reply_to) == (0, false)).collect();
     assert!(held.len() > 2, "cores are few");
     // It stands stopped: nothing reminds it of anything. Then a run ends, which would start a held one.
     play.world.0.borrow_mut().now += MS * 1500;
     let (now, rid) = (play.now(), play.world.0.borrow().runs.keys().next().copied().unwrap());
     play.world.0.borrow_mut().end(rid, Outcome::Completed);
     play.flow();
-    assert!(held.iter().all(|seat| answers(&play, *seat) == (1, false)), "given up at once, and not run");
+    assert!(
+        held.iter().all(|reply_to| answers(&play, *reply_to) == (1, false)),
+        "given up at once, and not run"
+    );
     let (buy, inquiry) =
         (play.read(Some(77), MS * 900, Duration::ZERO), play.read(None, MS * 900, Duration::ZERO));
     play.flow();
@@ -782,9 +794,9 @@
 }
 
 impl Ports for Deaf {
-    fn settle(&mut self, _: Seat, _: Payload) {}
-    fn decline(&mut self, _: Seat, _: Option<Duration>, _: bool) {}
-    fn void(&mut self, _: Seat) {}
+    fn settle(&mut self, _: ReplyTo, _: Payload) {}
+    fn decline(&mut self, _: ReplyTo, _: Option<Duration>, _: bool) {}
+    fn void(&mut self, _: ReplyTo) {}
     fn spawn(&mut self, _: Rid, _: &str, _: &Rc<[u8]>) {}
     fn suspend(&mut self, _: Rid) {}
     fn supply(&mut self, _: Rid, _: &[u8]) {}
@@ -809,31 +821,31 @@
     for n in 1..=100_000u32 {
         now += MS;
         let rid = Rid::new(&format!("{n:016x}")).unwrap();
-        let seat = Seat { conn: ConnId(n), call: CallNo(1) };
+        let reply_to = ReplyTo { conn: ConnId(n), call: CallNo(1) };
         let expiry = Some(now + MS * 2500);
         let arrival = Arrival { product: "p0", expiry, memory_kb: 10.0, rank: 0.9, ..Arrival::default() };
-        core.txn_read(now, seat, Ask { rid, mark: None, arrival, unread: MS, body: b"x" });
+        core.txn_read(now, reply_to, Ask { rid, dedup_key: None, arrival, unread: MS, body: b"x" });
         // Gone while it runs, while its call is out, as it ends, or by its connection.
         match n % 4 {
-            0 => core.caller_gone(now, seat),
+            0 => core.caller_gone(now, reply_to),
             1 => {
                 core.call_needed(now, rid, Number(u64::from(n)), b"ask");
-                core.conn_lost(now, seat.conn);
+                core.conn_lost(now, reply_to.conn);
             }
-            2 => core.conn_lost(now, seat.conn),
+            2 => core.conn_lost(now, reply_to.conn),
             _ => {}
         }
         core.run_ended(now, rid, Outcome::Completed, MS, Payload::Passing(b"r"));
-        core.caller_gone(now, seat);
+        core.caller_gone(now, reply_to);
         assert_eq!((core.in_hand(), core.owed(), core.in_tables()), (0, 0, (0, 0)), "after {n}");
     }
     // And while they are held: more than may run at once, all of one connection.
     for n in 0..500u32 {
         let rid = Rid::new(&format!("{:016x}", 200_000 + n)).unwrap();
-        let seat = Seat { conn: ConnId(7), call: CallNo(n) };
+        let reply_to = ReplyTo { conn: ConnId(7), call: CallNo(n) };
         let expiry = Some(now + MS * 2500);
         let arrival = Arrival { product: "p0", expiry, memory_kb: 10.0, rank: 0.9, ..Arrival::default() };
-        core.txn_read(now, seat, Ask { rid, mark: None, arrival, unread: MS, body: b"x" });
+        core.txn_read(now, reply_to, Ask { rid, dedup_key: None, arrival, unread: MS, body: b"x" });
     }
     assert!(core.in_hand() > 8);
     core.conn_lost(now, ConnId(7));
--- a/crates/aldercrank-server/tests/suite/tables.rs
+++ b/crates/aldercrank-server/tests/suite/tables.rs
@@ -3,7 +3,7 @@
 use aldercrank::TxnId;
 use aldercrank_server::config::Config;
 use aldercrank_server::deadlines::Deadlines;
-use aldercrank_server::keys::{Fate, Keys, Mark};
+use aldercrank_server::dedup::{DedupKey, DedupTable, Fate};
 use aldercrank_server::logger::{Bound, Lines, Logger, Wish};
 use aldercrank_server::payload::{Out, Payload};
 use aldercrank_server::phase::Phase;
@@ -42,8 +42,8 @@
 
 #[test]
 fn a_key_links_repeats_by_arrival_and_its_window_outlives_results_that_make_room() {
-    let mut keys = Keys::new(10);
-    let (mark, other) = (Mark::token("p", "t", b"x"), Mark::token("p", "u", b"x"));
+    let mut keys = DedupTable::new(10);
+    let (mark, other) = (DedupKey::token("p", "t", b"x"), DedupKey::token("p", "u", b"x"));
     let (a, b, c) = (TxnId(1), TxnId(2), TxnId(3));
     let (key, _) = keys.keep(&mark, a, S * 10).unwrap();
     assert_eq!(keys.repeated(&mark, S * 11, S * 11), None, "came after the window");
@@ -64,7 +64,7 @@
     assert_eq!((keys.ends(key, S), keys.lapse(key)), (Some(S * 31), vec![b, b]));
     assert_eq!(keys.repeated(&mark, S, S), None);
     // A read whose run came to nothing is no source for others.
-    let subject = Mark::subject("p", "s");
+    let subject = DedupKey::subject("p", "s");
     keys.keep(&subject, a, S * 9).unwrap();
     keys.started(&subject, a);
     keys.ended(&subject, a, None);
--- a/src/dedup.rs
+++ b/src/dedup.rs
@@ -1,24 +1,24 @@
 //! The table of marked txns: until when each is known, which are live, and which repeat took whose place in the
-//! hold. No decision lives here.
+//! queue. No decision lives here.
 
 use crate::types::{Effect, IdMap, Product, TxnId};
 use std::time::Duration;
 
-struct Mark {
+struct DedupEntry {
     until: Duration,
     live: bool,
     product: usize,
-    /// The repeat that took its place in the hold.
+    /// The repeat that took its place in the queue.
     heir: Option<TxnId>,
 }
 
 #[derive(Default)]
-pub struct Marks {
-    all: IdMap<Mark>,
+pub struct DedupEntries {
+    all: IdMap<DedupEntry>,
     live: usize,
 }
 
-impl Marks {
+impl DedupEntries {
     pub fn knows(&self, id: TxnId) -> bool {
         self.all.contains_key(&id)
     }
@@ -43,14 +43,14 @@
 
     pub fn keep(&mut self, id: TxnId, product: usize, until: Duration) {
         self.live += 1;
-        self.all.insert(id, Mark { until, live: true, product, heir: None });
+        self.all.insert(id, DedupEntry { until, live: true, product, heir: None });
     }
 
-    /// Products have come to be others. Where a window has grown, gives the live marks that last longer now, in the
+    /// Products have come to be others. Where a window has grown, gives the live entries that last longer now, in the
     /// order of their ids, with their ends.
     pub fn extend(&mut self, old: &[Product], new: &[Product]) -> Vec<(TxnId, Duration)> {
         let grown = |(old, new): (&Product, &Product)| match old.effect {
-            Effect::Referenced => new.window.saturating_sub(old.window),
+            Effect::Keyed => new.window.saturating_sub(old.window),
             _ => Duration::ZERO,
         };
         let by: Vec<Duration> = old.iter().zip(new).map(grown).collect();
@@ -63,9 +63,9 @@
         longer
     }
 
-    /// This one's place in the hold is another's now; others may still name it until then.
+    /// This one's place in the queue is another's now; others may still name it until then.
     pub fn replaced(&mut self, id: TxnId, product: usize, heir: TxnId, until: Duration) {
-        self.all.insert(id, Mark { until, live: false, product, heir: Some(heir) });
+        self.all.insert(id, DedupEntry { until, live: false, product, heir: Some(heir) });
     }
 
     /// Whether there was one.
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -1,4 +1,4 @@
-//! The hold: what has been read and not begun, in order of due time, with running figures of every stretch of
+//! The queue: what has been read and not begun, in order of due time, with running figures of every stretch of
 //! it, so that neither its cost nor the question who can't be in time needs a pass over all. No decision
 //! lives here: the module says what it asks for.
 
@@ -69,11 +69,11 @@
 type Node<'a> = View<'a, Place, Held, Stretch>;
 
 #[derive(Debug, Default)]
-pub struct Hold {
+pub struct Queue {
     tree: Tree<Place, Held, Stretch>,
 }
 
-impl Hold {
+impl Queue {
     pub fn insert(&mut self, place: Place, product: usize, worth: f64) {
         self.tree.insert(place, Held { product, worth });
     }
--- a/src/recent_callers.rs
+++ b/src/recent_callers.rs
@@ -4,15 +4,15 @@
 use std::collections::VecDeque;
 
 /// Txns whose callers and waits are compared.
-pub const HEARD: usize = 100;
+pub const COMPARED: usize = 100;
 
 #[derive(Debug, Default)]
-pub struct Heard {
+pub struct RecentCallers {
     last: VecDeque<(CallerId, usize)>,
     same: f64,
 }
 
-impl Heard {
+impl RecentCallers {
     /// How often two of them came from one caller.
     pub fn same(&self) -> f64 {
         self.same
@@ -27,7 +27,7 @@
         let same = self.last.iter().filter(|h| h.0 == caller).count() as f64;
         self.same += (same / n.max(1.0) - self.same) / (n + 1.0);
         self.last.push_front((caller, part));
-        self.last.truncate(HEARD);
+        self.last.truncate(COMPARED);
         (if n > 0.0 { near / n } else { 1.0 }, known)
     }
 }
--- a/src/totals.rs
+++ b/src/totals.rs
@@ -5,7 +5,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Stage {
     #[default]
-    Held,
+    Queued,
     Joined,
     Running,
     /// At a call that has not been made.
@@ -22,21 +22,21 @@
 }
 
 #[derive(Debug, Default)]
-pub struct Ledger {
+pub struct Totals {
     of_product: Vec<usize>,
     of_stage: [usize; 5],
     waiting: u64,
     begun: u64,
 }
 
-impl Ledger {
-    pub fn new(products: usize) -> Ledger {
-        Ledger { of_product: vec![0; products], ..Ledger::default() }
+impl Totals {
+    pub fn new(products: usize) -> Totals {
+        Totals { of_product: vec![0; products], ..Totals::default() }
     }
 
     fn memory(&mut self, stage: Stage) -> &mut u64 {
         match stage {
-            Stage::Held | Stage::Joined => &mut self.waiting,
+            Stage::Queued | Stage::Joined => &mut self.waiting,
             _ => &mut self.begun,
         }
     }
@@ -64,7 +64,7 @@
     /// All whose run has begun.
     pub fn begun(&self) -> usize {
         self.of_stage.iter().sum::<usize>()
-            - self.of_stage[Stage::Held as usize]
+            - self.of_stage[Stage::Queued as usize]
             - self.of_stage[Stage::Joined as usize]
     }
 
--- a/src/txn.rs
+++ b/src/txn.rs
@@ -1,6 +1,6 @@
 //! A txn as the module has it in hand, and what is due for one. No decision lives here.
 
-use crate::ledger::Stage;
+use crate::totals::Stage;
 use crate::types::Effect;
 use std::time::Duration;
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -23,20 +23,20 @@
 pub enum Effect {
     /// It may.
     #[default]
-    InquiryLike,
+    Idempotent,
     /// A repeat is known by its mark; it runs once within the window.
-    Referenced,
+    Keyed,
     /// Never.
-    OnceOnly,
+    Unsafe,
 }
 
 impl Effect {
     /// By the settings' name for it; what is unknown is not repeated.
     pub fn named(name: &str) -> Effect {
         match name {
-            "retryable" => Effect::InquiryLike,
-            "dedup" => Effect::Referenced,
-            _ => Effect::OnceOnly,
+            "retryable" => Effect::Idempotent,
+            "dedup" => Effect::Keyed,
+            _ => Effect::Unsafe,
         }
     }
 }
@@ -69,7 +69,7 @@
     #[default]
     Everything,
     /// What may run again.
-    InquiryLike,
+    Idempotent,
     Nothing,
 }
 
@@ -77,7 +77,7 @@
     pub fn covers(self, effect: Effect) -> bool {
         match self {
             Leave::Everything => true,
-            Leave::InquiryLike => effect == Effect::InquiryLike,
+            Leave::Idempotent => effect == Effect::Idempotent,
             Leave::Nothing => false,
         }
     }
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -1,6 +1,6 @@
 //! A slow, plain model of a server and of the four rules, which plays host to the module.
 
-use aldercrank::{Arrival, Brain, CallerId, Effect, Host, Outcome, Settings, TxnId, Value};
+use aldercrank::{Admission, Arrival, CallerId, Effect, Host, Outcome, Settings, TxnId, Value};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -131,7 +131,7 @@
         let (effect, grace) = (w.effects[txn.product], w.num("rules.stop_sending_within", 0.0) as u64);
         let twin = |t: &Seen| {
             let near = txn.arrived.saturating_sub(t.arrived) <= Duration::from_micros(window);
-            t.ran && near && t.reference == txn.reference && effect == Effect::Referenced
+            t.ran && near && t.reference == txn.reference && effect == Effect::Keyed
         };
         if w.txns.values().any(twin) {
             w.breaks("ran twice", id);
@@ -147,7 +147,7 @@
         let mut w = self.0.borrow_mut();
         let txn = w.txns[&id].clone();
         if w.cfg.text("family_info.halt").unwrap_or("none") == "none"
-            || w.effects[txn.product] != Effect::InquiryLike
+            || w.effects[txn.product] != Effect::Idempotent
         {
             w.breaks("stopped", id);
         }
@@ -197,7 +197,7 @@
         let mut w = self.0.borrow_mut();
         w.calls.push((id, give_up_after));
         let txn = w.txns[&id].clone();
-        if txn.at != At::Waiting || (txn.called && w.effects[txn.product] != Effect::InquiryLike) {
+        if txn.at != At::Waiting || (txn.called && w.effects[txn.product] != Effect::Idempotent) {
             w.breaks("called again", id);
         }
         w.txns.get_mut(&id).unwrap().at = At::Calling;
@@ -262,7 +262,7 @@
 }
 
 pub struct Play {
-    pub brain: Brain<Shared>,
+    pub admission: Admission<Shared>,
     pub world: Shared,
     pub next: u32,
     pub caller: u64,
@@ -275,15 +275,15 @@
     pub fn new(cfg: Settings) -> Play {
         let world = Shared::default();
         let effect = |i: usize| match cfg.text(&format!("profiles.{i}.effect")) {
-            Some("retryable") => Effect::InquiryLike,
-            Some("dedup") => Effect::Referenced,
-            _ => Effect::OnceOnly,
+            Some("retryable") => Effect::Idempotent,
+            Some("dedup") => Effect::Keyed,
+            _ => Effect::Unsafe,
         };
         let named = (0..).take_while(|i| cfg.text(&format!("profiles.{i}.name")).is_some());
         world.0.borrow_mut().effects = named.map(effect).collect();
         world.0.borrow_mut().cfg = cfg.clone();
-        let brain = Brain::start(cfg, Duration::ZERO, world.clone());
-        Play { brain, world, next: 1, caller: 0, lay: Duration::ZERO, kb: 10.0 }
+        let admission = Admission::start(cfg, Duration::ZERO, world.clone());
+        Play { admission, world, next: 1, caller: 0, lay: Duration::ZERO, kb: 10.0 }
     }
 
     pub fn now(&self) -> Duration {
@@ -310,7 +310,7 @@
                 self.end(id, how);
             }
             if self.world.0.borrow().wake.is_some_and(|w| w <= now) {
-                self.brain.woken(now, &[runnable]);
+                self.admission.woken(now, &[runnable]);
             }
             self.world.0.borrow_mut().check_lost();
         }
@@ -342,7 +342,7 @@
             caller: CallerId(self.caller),
             ..Arrival::default()
         };
-        self.brain.txn_read(now, id, &read);
+        self.admission.txn_read(now, id, &read);
         id
     }
 
@@ -359,7 +359,7 @@
             }
             txn.began
         };
-        self.brain.run_ended(now, id, how, now.saturating_sub(began));
+        self.admission.run_ended(now, id, how, now.saturating_sub(began));
         let joined = |t: &Seen| t.at == At::Joined && t.repeats == Some(id);
         let world = self.world.0.clone();
         let joined: Vec<TxnId> =
--- a/tests/suite/held.rs
+++ b/tests/suite/held.rs
@@ -1,7 +1,7 @@
-//! The hold and the calls of late beside plain models that pass over all, on generated steps.
+//! The queue and the calls of late beside plain models that pass over all, on generated steps.
 
 use aldercrank::calls::Calls;
-use aldercrank::hold::Hold;
+use aldercrank::queue::Queue;
 use aldercrank::TxnId;
 use std::time::Duration;
 
@@ -32,17 +32,17 @@
     gone
 }
 
-/// The same by the hold's own search.
-fn prune(hold: &mut Hold, all: &[Plain], run: &[f64], sure: f64, now: Duration) -> Vec<TxnId> {
+/// The same by the queue's own search.
+fn prune(queue: &mut Queue, all: &[Plain], run: &[f64], sure: f64, now: Duration) -> Vec<TxnId> {
     let (mut after, mut gone) = (None, Vec::new());
     let slack = |due: Duration, i: usize| due.saturating_sub(now).as_secs_f64() - run[i] * sure;
     while let Some((place, i)) =
-        hold.find(after, |i| run[i], |ahead, due, product| ahead > slack(due, product))
+        queue.find(after, |i| run[i], |ahead, due, product| ahead > slack(due, product))
     {
-        let least = if slack(place.0, i) < 0.0 { place } else { hold.least_to(place).unwrap() };
+        let least = if slack(place.0, i) < 0.0 { place } else { queue.least_to(place).unwrap() };
         after = Some(place);
         assert!(all.iter().any(|h| (h.0, h.1) == least));
-        hold.remove(least);
+        queue.remove(least);
         gone.push(least.1);
     }
     gone
@@ -53,31 +53,31 @@
     for seed in 0..60 {
         let mut draws = draws(seed);
         let mut draw = |n: u64| draws(n);
-        let (mut hold, mut all): (Hold, Vec<Plain>) = (Hold::default(), Vec::new());
+        let (mut queue, mut all): (Queue, Vec<Plain>) = (Queue::default(), Vec::new());
         for step in 0..300 {
             let now = MS * step;
             if draw(4) > 0 {
                 let (due, id) = (now + MS * draw(400) as u32, TxnId(step));
                 let (product, worth) = (draw(3) as usize, draw(20) as f64 / 10.0);
-                hold.insert((due, id), product, worth);
+                queue.insert((due, id), product, worth);
                 all.push((due, id, product, worth));
             } else if !all.is_empty() {
                 let gone = all.swap_remove(draw(all.len() as u64) as usize);
-                hold.remove((gone.0, gone.1));
+                queue.remove((gone.0, gone.1));
             }
             all.sort_by_key(|h| (h.0, h.1));
             // Odd figures, so that sums taken in another order make no tie fall otherwise.
             let run: Vec<f64> =
                 (0..3).map(|i| 0.000_123_457 * (1 + i) as f64 * (1 + draw(60)) as f64).collect();
             let plain: f64 = all.iter().map(|h| run[h.2]).sum();
-            assert!((hold.cost(|i| run[i]) - plain).abs() < 1e-9);
-            assert_eq!(hold.first(), all.first().map(|h| (h.0, h.1)));
+            assert!((queue.cost(|i| run[i]) - plain).abs() < 1e-9);
+            assert_eq!(queue.first(), all.first().map(|h| (h.0, h.1)));
             if draw(3) == 0 {
                 let expected = pruned(&all, &run, 1.7, now);
-                assert_eq!(prune(&mut hold, &all, &run, 1.7, now), expected, "seed {seed}, step {step}");
+                assert_eq!(prune(&mut queue, &all, &run, 1.7, now), expected, "seed {seed}, step {step}");
                 all.retain(|h| !expected.contains(&h.1));
             }
-            assert_eq!(hold.len(), all.len());
+            assert_eq!(queue.len(), all.len());
         }
     }
 }
--- a/tests/suite/mechanism.rs
+++ b/tests/suite/mechanism.rs
@@ -1,4 +1,4 @@
-//! The window, the breaker, the hold, the calls and each failure met so far, one small test each.
+//! The window, the breaker, the queue, the calls and each failure met so far, one small test each.
 
 use crate::common::{settings, At, Play, MS};
 use aldercrank::{Outcome, Settings, TxnId, Value};
@@ -64,7 +64,7 @@
         let now = play.now();
         play.set(first, At::Over);
         play.world.0.borrow_mut().txns.get_mut(&first).unwrap().answers = 1;
-        play.brain.run_ended(now, first, Outcome::Completed, MS * millis);
+        play.admission.run_ended(now, first, Outcome::Completed, MS * millis);
         if millis < 3000 {
             play.pass(MS * 600, 9.0);
         }
@@ -81,7 +81,7 @@
     let ids = offer(&mut play, 5);
     assert_eq!((running(&play), play.world.0.borrow().count(At::Held)), (4, 1));
     play.set(ids[0], At::Waiting);
-    play.brain.call_needed(MS, ids[0]);
+    play.admission.call_needed(MS, ids[0]);
     assert_eq!((play.at(ids[0]), play.at(ids[4])), (At::Calling, At::Running));
 }
 
@@ -91,11 +91,11 @@
     let ids = offer(&mut play, 4);
     for id in &ids {
         play.set(*id, At::Waiting);
-        play.brain.call_needed(MS, *id);
+        play.admission.call_needed(MS, *id);
     }
     assert_eq!(play.world.0.borrow().count(At::Calling), 1);
     play.set(ids[0], At::Running);
-    play.brain.call_ended(MS * 30, ids[0], Outcome::Completed, MS * 29);
+    play.admission.call_ended(MS * 30, ids[0], Outcome::Completed, MS * 29);
     assert_eq!(play.at(ids[1]), At::Calling);
 }
 
@@ -106,9 +106,9 @@
         let id = play.read(1, MS * LONG, Some(how as u8), 0.5);
         play.set(id, At::Waiting);
         let now = play.now();
-        play.brain.call_needed(now, id);
+        play.admission.call_needed(now, id);
         play.set(id, At::Waiting);
-        play.brain.call_ended(now, id, how, MS);
+        play.admission.call_ended(now, id, how, MS);
         play.pass(MS * 150, 9.0);
         assert_eq!(play.world.0.borrow().txns[&id].answers == 0, open, "{how:?}");
         play.end(id, Outcome::Recalled);
@@ -192,10 +192,10 @@
     let ids = offer(&mut play, 2);
     for id in [ids[0], old, ids[1]] {
         play.set(id, At::Waiting);
-        play.brain.call_needed(MS * 950, id);
+        play.admission.call_needed(MS * 950, id);
     }
     play.set(ids[0], At::Running);
-    play.brain.call_ended(MS * 960, ids[0], Outcome::Completed, MS * 10);
+    play.admission.call_ended(MS * 960, ids[0], Outcome::Completed, MS * 10);
     assert_eq!((play.at(old), play.at(ids[1])), (At::Waiting, At::Calling));
 }
 
@@ -207,7 +207,7 @@
         let id = play.read(0, MS * 9000, None, 0.99);
         play.set(id, At::Waiting);
         let now = play.now();
-        play.brain.call_needed(now, id);
+        play.admission.call_needed(now, id);
         play.pass(MS * 125, 0.0);
         play.set(id, At::Running);
         play.end(id, Outcome::Recalled);
@@ -252,8 +252,8 @@
         let mut play = Play::new(with("family_info.calls_out", 0.5));
         let id = play.read(0, MS * 9000, None, 0.99);
         play.set(id, At::Waiting);
-        play.brain.call_needed(MS, id);
-        play.brain.call_ended(MS * (took + 1), id, Outcome::Completed, MS * took);
+        play.admission.call_needed(MS, id);
+        play.admission.call_ended(MS * (took + 1), id, Outcome::Completed, MS * took);
         let next = play.read(0, MS * 9000, None, 0.99);
         assert_eq!(play.at(next), at, "calls of {took} ms");
     }
@@ -270,13 +270,13 @@
         let id = play.read(0, MS * LONG, None, 0.99);
         play.set(id, At::Waiting);
         let now = play.now();
-        play.brain.call_needed(now, id);
+        play.admission.call_needed(now, id);
         id
     };
     let end = |play: &mut Play, id, how, took| {
         let now = play.now();
         play.set(id, if how == Outcome::Completed { At::Running } else { At::Waiting });
-        play.brain.call_ended(now, id, how, MS * took);
+        play.admission.call_ended(now, id, how, MS * took);
     };
     for _ in 0..40 {
         let id = stand(&mut play);
@@ -310,7 +310,7 @@
     let id = play.read(0, MS * 9000, None, 0.99);
     play.set(id, At::Waiting);
     let now = play.now();
-    play.brain.call_needed(now, id);
+    play.admission.call_needed(now, id);
     id
 }
 
@@ -319,7 +319,7 @@
     play.pass(MS * millis, 4.0);
     play.set(id, At::Running);
     let now = play.now();
-    play.brain.call_ended(now, id, Outcome::Completed, MS * millis);
+    play.admission.call_ended(now, id, Outcome::Completed, MS * millis);
     play.end(id, Outcome::Completed);
 }
 
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -56,7 +56,7 @@
         9 => {
             if let Some(id) = pick(play, &[At::Running]).filter(|id| unanswered(play, id)) {
                 play.set(id, At::Waiting);
-                play.brain.call_needed(now, id);
+                play.admission.call_needed(now, id);
             }
         }
         10 | 11 => {
@@ -65,24 +65,24 @@
                 play.set(id, if how == Completed { At::Running } else { At::Waiting });
                 let called = how != Completed && !how.never_ran();
                 play.world.0.borrow_mut().txns.get_mut(&id).unwrap().called = called;
-                play.brain.call_ended(now, id, how, MS * u32::from(much % 900));
+                play.admission.call_ended(now, id, how, MS * u32::from(much % 900));
             }
         }
         12 => {
             if let Some(id) = pick(play, &[At::Held, At::Joined, At::Running]) {
                 play.set(id, if play.at(id) == At::Running { At::Running } else { At::Over });
                 play.world.0.borrow_mut().txns.get_mut(&id).unwrap().gone = true;
-                play.brain.caller_gone(now, id);
+                play.admission.caller_gone(now, id);
             }
         }
         13 if which == 0 && play.world.0.borrow().leaving.is_none() => {
             let stop = now + MS * 2500;
             play.world.0.borrow_mut().leaving = Some((now, stop));
-            play.brain.drain(now, stop);
+            play.admission.drain(now, stop);
         }
         15 if which < 64 => {
-            let leave = [Leave::Everything, Leave::InquiryLike, Leave::Nothing][usize::from(which) % 3];
-            play.brain.leave(now, leave);
+            let leave = [Leave::Everything, Leave::Idempotent, Leave::Nothing][usize::from(which) % 3];
+            play.admission.leave(now, leave);
         }
         15 if which < 96 => {
             // Windows grow and shrink; effects stay, since the model goes by one for each product.
@@ -90,14 +90,14 @@
             cfg.set("profiles.1.window", Value::Num(6e6 + f64::from(much) * 1e3));
             cfg.set("profiles.0.offered", Value::Flag(which % 2 == 0));
             cfg.set("family_info.calls_out", Value::Num(f64::from(which % 5)));
-            play.brain.reset(now, &cfg);
+            play.admission.reset(now, &cfg);
         }
         14 => {
             let stranger = TxnId(u32::MAX - u32::from(which));
-            play.brain.call_needed(now, stranger);
-            play.brain.call_ended(now, stranger, Overdue, MS);
-            play.brain.run_ended(now, stranger, Completed, MS);
-            play.brain.caller_gone(now, stranger);
+            play.admission.call_needed(now, stranger);
+            play.admission.call_ended(now, stranger, Overdue, MS);
+            play.admission.run_ended(now, stranger, Completed, MS);
+            play.admission.caller_gone(now, stranger);
         }
         _ => play.pass(MS * u32::from(much % 400 + 1), f64::from(which % 8)),
     }
