Callers that end their side count as gone again; a connection that has just come is not idle

So the runs of such callers are stopped as before, and only what was answered already is written to a slow reader.

Seen beside it, in a busy run of the tests: a connection got an end and no answer. make_room took one that had been accepted a moment before and had not spoken for the idlest. Those that have come within the last 100 ms are left alone. A reset after an end shows in the events' flags alone (a read tells of the end again), so the flags are kept.

--- a/crates/aldercrank-server/src/net/closing.rs
+++ b/crates/aldercrank-server/src/net/closing.rs
@@ -53,7 +53,8 @@
     fn end_idlest(&mut self) {
         let mut speaking = None;
         for _ in 0..LOOKS {
-            let Some(conn) = self.net().edge.idlest() else { break };
+            let now = self.now();
+            let Some(conn) = self.net().edge.idlest(now) else { break };
             match self.last_look(conn) {
                 LastLook::Gone => return,
                 LastLook::Busy => {}
@@ -124,20 +125,19 @@
         }
     }
 
-    /// The other side says no more. That is no reset: it may still read, so what is open is answered first.
+    /// The other side says no more: whoever waited on it has gone. What has been answered is written all the same, to
+    /// a slow reader, unless the connection turns out to be reset.
     pub(super) fn edge_ended(&mut self, conn: ConnId) {
-        let (open, unsent) = match self.net().edge.get(conn) {
+        let answered = match self.net().edge.get(conn) {
             Some(c) => {
-                c.half_closed = true;
                 c.flush();
-                (!c.calls.is_empty(), c.link.waiting() > 0)
+                c.calls.is_empty() && c.link.waiting() > 0
             }
             None => return,
         };
-        match (open, unsent) {
-            (true, _) => {}
-            (false, true) => self.edge_end(conn),
-            (false, false) => self.edge_lost(conn),
+        match answered {
+            true => self.edge_end(conn),
+            false => self.edge_lost(conn),
         }
     }
 
--- a/crates/aldercrank-server/src/net/conns.rs
+++ b/crates/aldercrank-server/src/net/conns.rs
@@ -18,6 +18,8 @@
 
 /// How long the other side has to close what was told to close, and again once the write side is shut.
 pub(super) const PARTING: Duration = Duration::from_secs(1);
+/// Whoever opens a connection says something on it soon: until then it is not taken for idle.
+const JUST_COME: Duration = Duration::from_millis(100);
 /// Of the bound on connections, the part that is kept for those that linger: from there on the idlest are ended in
 /// order, and only at the bound itself are those that linger dropped before their time.
 const LINGER_SHARE: usize = 16;
@@ -45,8 +47,6 @@
     pub(super) queued: bool,
     /// The other side has ended: it is read until that shows.
     pub(super) ended: bool,
-    /// The other side says no more, and what is open is still to be answered.
-    pub(super) half_closed: bool,
     /// It was not read when it had something, since its reader lagged.
     pub(super) unread: bool,
     /// Something has been said that is not written yet.
@@ -71,7 +71,7 @@
 impl Conn {
     pub(super) fn new(link: Link, now: Duration, dry: Duration) -> Conn {
         let (calls, judged, state, owes) = (Vec::new(), Vec::new(), State::Open, Some(now + WHOLE));
-        let (queued, ended, half_closed, unread, dirty, idle) = (false, false, false, false, false, None);
+        let (queued, ended, unread, dirty, idle) = (false, false, false, false, None);
         Conn {
             link,
             calls,
@@ -79,7 +79,6 @@
             state,
             queued,
             ended,
-            half_closed,
             unread,
             dirty,
             idle,
@@ -203,9 +202,12 @@
         }
     }
 
-    /// The one that has had nothing open for longest, those first that have never said anything whole.
-    pub(super) fn idlest(&self) -> Option<ConnId> {
-        self.rows.iter().find_map(|row| row.first)
+    /// The one that has had nothing open for longest, those first that have never said anything whole, but for those
+    /// that have only just come.
+    pub(super) fn idlest(&self, now: Duration) -> Option<ConnId> {
+        let [silent, spoken] = &self.rows;
+        let since = |conn: &ConnId| self.conns.get(Slot(conn.0)).map_or(now, |c| c.quiet);
+        silent.first.filter(|conn| now >= since(conn) + JUST_COME).or(spoken.first)
     }
 
     /// The one of all that has had nothing open for longest, and since when.
@@ -327,11 +329,10 @@
         let quiet = |c: &&mut Conn| c.calls.is_empty() && !c.lingering();
         let Some(c) = self.conns.get_mut(Slot(conn.0)).filter(quiet) else { return };
         c.quiet = now;
-        let (state, half_closed) = (c.state, c.half_closed);
+        let state = c.state;
         self.leave_row(conn);
         self.join_row(conn);
         match state {
-            State::Open | State::Closing if half_closed => deadlines.set(Due::Parted(conn), now),
             State::Open => {
                 if let Some(idle) = self.idle.filter(|_| deadlines.get(Due::Idle).is_none()) {
                     deadlines.set(Due::Idle, now + idle);
--- a/crates/aldercrank-server/src/net/edge.rs
+++ b/crates/aldercrank-server/src/net/edge.rs
@@ -212,6 +212,9 @@
             let mut net = self.net();
             let Some(c) = net.edge.get(conn) else { return };
             c.ended |= ready.ended;
+            if ready.broken {
+                c.link.broke();
+            }
             if ready.writable {
                 c.flush();
             }
--- a/crates/aldercrank-server/src/net/link.rs
+++ b/crates/aldercrank-server/src/net/link.rs
@@ -49,7 +49,7 @@
     pub input: Vec<u8>,
     pub out: Out,
     connecting: bool,
-    /// A write has failed. The system tells of it once, so a later read would take it for an end.
+    /// It was reset. The system tells of that once, so a later read would take it for an end.
     broken: bool,
 }
 
@@ -139,7 +139,7 @@
                 Ok(n) if n > 0 => {}
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() != ErrorKind::WouldBlock => {
-                    self.broken = true;
+                    self.broke();
                     break;
                 }
                 _ => break,
@@ -147,6 +147,11 @@
         }
     }
 
+    /// It was reset: what can still be read comes before that shows.
+    pub fn broke(&mut self) {
+        self.broken = true;
+    }
+
     /// Reads once, into the front of `into`.
     pub fn read(&mut self, into: &mut [u8]) -> Got {
         match Got::of(retry_on_intr(|| rustix::io::read(&*self.stream, &mut *into))) {
--- a/crates/aldercrank-server/src/net/wait.rs
+++ b/crates/aldercrank-server/src/net/wait.rs
@@ -47,6 +47,9 @@
     pub writable: bool,
     /// The other side has ended, or it broke: all that is left is to be read.
     pub ended: bool,
+    /// It is over in both directions. After an end of the other side a reset shows here alone: a read tells of the end
+    /// again.
+    pub broken: bool,
 }
 
 pub struct Waiter {
@@ -87,5 +90,6 @@
         readable: ended || flags.contains(EventFlags::IN),
         writable: ended || flags.contains(EventFlags::OUT),
         ended,
+        broken: flags.intersects(EventFlags::HUP | EventFlags::ERR),
     }
 }
