--- a/crates/aldercrank-lab/tests/suite/start.rs
+++ b/crates/aldercrank-lab/tests/suite/start.rs
@@ -114,3 +114,22 @@
     let most = outcome["list"]["later_tenth"].as_u64().unwrap();
     assert!(most <= 6, "{most} in a tenth of a second");
 }
+
+/// What one server may do alone, thirty together must be able to: of what they share each takes its part, and more
+/// than that only as often as chance brings it about.
+#[test]
+fn thirty_cold_servers_keep_within_what_the_index_and_their_cores_bear() {
+    let budget = 24.0_f64;
+    let steps = format!(
+        "seconds 9\nfleet servers=30 zones=3\ncallers rate=900 edges=6\nlist capacity=45\n\
+         index slots=16 limit={budget} take-ms=15 cold=6 warming=500\nat 0 \"index-cold\"\n\
+         at 4 \"kill\" share=0.5 for=0.5\n"
+    );
+    // That no crowd on cold cores breaks a rule is judged in the play itself.
+    let outcome = starts("thirty", &steps);
+    let most = number(&outcome, "index_most");
+    let chance = 2.0 * budget.sqrt() + 2.0;
+    assert!(most <= budget + chance, "{most} calls in hand at the index, {budget} are its budget");
+    assert_eq!(outcome["index_collapses"], 0);
+    assert!(number(&outcome, "value") > 0.3, "{}", outcome["value"]);
+}
