--- a/crates/aldercrank-lab/tests/suite/main.rs
+++ b/crates/aldercrank-lab/tests/suite/main.rs
@@ -2,5 +2,6 @@
 
 mod common;
 mod fleet;
+mod known_red;
 mod rules;
 mod start;
--- a/crates/aldercrank-server/tests/suite/crossings.rs
+++ b/crates/aldercrank-server/tests/suite/crossings.rs
@@ -317,6 +317,29 @@
     edge.hears(&[b"two"]);
 }
 
+#[test]
+fn restarts_with_the_membership_service_away_are_ready_in_their_time() {
+    let mut program = Program::begin(None::<fn(&str) -> Option<String>>);
+    let mut pool = PoolEnd::accept(&program.pool);
+    for _ in 0..10 {
+        assert_eq!(pool.next().0, ["bind", "0"]);
+        program.restart();
+        let began = Instant::now();
+        pool = PoolEnd::accept(&program.pool);
+        assert_eq!(pool.next().0, ["bind", "0"]);
+        pool.say("bound cold 10\r\n");
+        let mut edge = program.connect();
+        edge.ask(1, "map", &rid(1), None, b"");
+        assert_eq!(pool.next().0[1], rid(1));
+        pool.finish(1, &rid(1), b"one");
+        edge.hears(&[b"one"]);
+        assert!(began.elapsed() < Duration::from_secs(10));
+        // The next one takes its place.
+        program.restart();
+        pool = PoolEnd::accept(&program.pool);
+    }
+}
+
 /// The system's limit is set to what the configuration tells, and idle clients take all that they can get.
 #[test]
 fn idle_clients_leave_descriptors_for_what_the_server_opens_itself() {
