Read through once more: one step of the crossing tests and one end of callers stand once

PoolEnd::runs says in one place that a request is spawned and ends well, assertions as before (nine places). edge_end and edge_lost told the core of lost callers in the same words. PARTING is private again.

--- a/crates/aldercrank-server/src/net/closing.rs
+++ b/crates/aldercrank-server/src/net/closing.rs
@@ -6,6 +6,7 @@
 use super::edge::Misuse;
 use super::Server;
 use crate::core::{ConnId, ReplyTo};
+use std::time::Duration;
 
 /// Connections that are looked at to make room for another.
 const LOOKS: usize = 8;
@@ -120,9 +121,7 @@
             let net = &mut *net;
             net.edge.linger(conn, now, &mut net.deadlines);
         }
-        if let Some(core) = &mut self.core {
-            core.conn_lost(now, conn);
-        }
+        self.callers_gone(now, conn);
     }
 
     /// The other side says no more: whoever waited on it has gone. What has been answered is written all the same, to
@@ -149,6 +148,11 @@
             let net = &mut *net;
             net.edge.drop(conn, &net.on_loop, &mut net.deadlines);
         }
+        self.callers_gone(now, conn);
+    }
+
+    /// Nobody waits on a connection any more.
+    fn callers_gone(&mut self, now: Duration, conn: ConnId) {
         if let Some(core) = &mut self.core {
             core.conn_lost(now, conn);
         }
--- a/crates/aldercrank-server/src/net/conns.rs
+++ b/crates/aldercrank-server/src/net/conns.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 /// How long the other side has to close what was told to close, and again once the write side is shut.
-pub(super) const PARTING: Duration = Duration::from_secs(1);
+const PARTING: Duration = Duration::from_secs(1);
 /// Whoever opens a connection says something on it soon: until then it is not taken for idle.
 const JUST_COME: Duration = Duration::from_millis(100);
 /// Of the bound on connections, the part that is kept for those that linger: from there on the idlest are ended in
--- a/crates/aldercrank-server/tests/suite/crossings.rs
+++ b/crates/aldercrank-server/tests/suite/crossings.rs
@@ -103,8 +103,7 @@
     // The time to end it has come as well when the process goes on.
     std::thread::sleep(Duration::from_millis(1200));
     program.resume();
-    assert_eq!(pool.next().0[1], rid(2));
-    pool.finish(1, &rid(2), b"two");
+    pool.runs(1, 2, b"two");
     edge.hears(&[b"two"]);
 }
 
@@ -120,8 +119,7 @@
     edge.ask(2, "map", &rid(2), None, b"");
     let mut other = program.connect();
     other.ask(1, "map", &rid(3), None, b"");
-    assert_eq!(pool.next().0[1], rid(3));
-    pool.finish(1, &rid(3), b"three");
+    pool.runs(1, 3, b"three");
     other.hears(&[b"three"]);
     assert_eq!(edge.0.read(&mut [0; 16]).unwrap(), 0);
 }
@@ -141,8 +139,7 @@
     // The end would have come by now.
     std::thread::sleep(Duration::from_millis(600));
     edge.0.write_all(second).unwrap();
-    assert_eq!(pool.next().0[1], rid(2));
-    pool.finish(1, &rid(2), b"two");
+    pool.runs(1, 2, b"two");
     edge.hears(&[b"two"]);
 }
 
@@ -244,8 +241,7 @@
     }
     let mut edge = program.connect();
     edge.ask(1, "map", &rid(1), None, b"");
-    assert_eq!(pool.next().0[1], rid(1));
-    pool.finish(1, &rid(1), b"one");
+    pool.runs(1, 1, b"one");
     edge.hears(&[b"one"]);
 }
 
@@ -277,8 +273,7 @@
     let mut pool = program.serving();
     let mut edge = program.connect();
     edge.ask(1, "map", &rid(1), None, b"");
-    assert_eq!(pool.next().0[1], rid(1));
-    pool.finish(4, &rid(1), b"one");
+    pool.runs(4, 1, b"one");
     edge.hears(&[b"one"]);
     edge.ask(2, "map", &rid(2), None, b"");
     assert_eq!(pool.next().0[1], rid(2));
@@ -291,8 +286,7 @@
     // What ran on the old one is over; what the new one says counts from its first notice on.
     edge.hears(&[&[0x94, 1, 2, 0x92]]);
     edge.ask(3, "map", &rid(3), None, b"");
-    assert_eq!(pool.next().0[1], rid(3));
-    pool.finish(1, &rid(3), b"three");
+    pool.runs(1, 3, b"three");
     edge.hears(&[b"three"]);
 }
 
@@ -312,8 +306,7 @@
     pool.finish(1, &rid(1), b"one");
     let mut edge = program.connect();
     edge.ask(1, "buy", &rid(2), Some("u"), b"");
-    assert_eq!(pool.next().0[1], rid(2));
-    pool.finish(2, &rid(2), b"two");
+    pool.runs(2, 2, b"two");
     edge.hears(&[b"two"]);
 }
 
@@ -330,8 +323,7 @@
         pool.say("bound cold 10\r\n");
         let mut edge = program.connect();
         edge.ask(1, "map", &rid(1), None, b"");
-        assert_eq!(pool.next().0[1], rid(1));
-        pool.finish(1, &rid(1), b"one");
+        pool.runs(1, 1, b"one");
         edge.hears(&[b"one"]);
         assert!(began.elapsed() < Duration::from_secs(10));
         // The next one takes its place.
@@ -361,8 +353,7 @@
     assert!(program.reports.recv_timeout(LONG).unwrap().ends_with("{\"phase\":\"UP\"}"));
     let mut edge = program.connect();
     edge.ask(1, "map", &rid(1), None, b"");
-    assert_eq!(pool.next().0[1], rid(1));
-    pool.finish(1, &rid(1), b"one");
+    pool.runs(1, 1, b"one");
     edge.hears(&[b"one"]);
 }
 
--- a/crates/aldercrank-server/tests/suite/harness.rs
+++ b/crates/aldercrank-server/tests/suite/harness.rs
@@ -124,6 +124,12 @@
         self.say(&format!("bound warm {age}\r\n"));
     }
 
+    /// The next command has to be the word to run this one, which ends well.
+    pub fn runs(&mut self, notice: u32, number: u32, result: &[u8]) {
+        assert_eq!(self.next().0[1], rid(number));
+        self.finish(notice, &rid(number), result);
+    }
+
     pub fn finish(&mut self, notice: u32, rid: &str, result: &[u8]) {
         self.say(&format!("finished {notice} {rid} ok 20.5 {}\r\n", result.len()));
         self.reader.get_mut().write_all(result).unwrap();
