A valid version is read half a second after an invalid one, however long that stood

Callers were served by an older version of the configuration: a corrected version took up to ten seconds to be read, one replaced sooner was never read.

Cause: a committee member took an invalid text at the membership service, or one too long to be read, for a failed attempt, and backed off by the retry pacer: 0.88 to 1.25 s, then 1.75 to 2.5 s, up to 10 s. There is no entity tag to poll against, so nothing shortens the wait.

Change: an invalid answer sets the next read half a second later, each time alike; a service that does not answer is backed off from as before. Two reads a second by each member stay below the ten of docs/design-consensus.md.

--- a/crates/aldercrank-server/src/net/config_agreement/version_polling.rs
+++ b/crates/aldercrank-server/src/net/config_agreement/version_polling.rs
@@ -23,6 +23,9 @@
 /// After a change the next poll follows after this share of [`POLL_WAIT`], so that a service whose answer differs each
 /// time is not polled more often than that.
 const POLL_AGAIN_SHARE: f64 = 0.02;
+/// After an answer that is no valid version the next poll follows after this share of [`POLL_WAIT`]. It is the same each
+/// time: the service is well, and its next version may be valid.
+const POLL_AFTER_INVALID_SHARE: f64 = 0.1;
 /// How much longer than [`POLL_WAIT`] an answer is awaited.
 const POLL_GRACE: Duration = Duration::from_secs(2);
 const STATUS_OK: u16 = 200;
@@ -83,6 +86,12 @@
         self.due
     }
 
+    /// Without a digest there is no tag to poll against, so the service can't hold back its answer until there is a
+    /// valid version.
+    fn invalid_answer_received(&mut self, now: Duration) {
+        self.due = now + POLL_WAIT.mul_f64(POLL_AFTER_INVALID_SHARE);
+    }
+
     fn request(&self, address: SocketAddr) -> Vec<u8> {
         let known = self.known.as_ref().map(|known| known.tag.as_str());
         membership::write_version_read(&address.to_string(), known, POLL_WAIT)
@@ -170,7 +179,9 @@
                 }
                 _ => polling.due = polling.pacer.rejected(now, response.retry_after),
             },
-            Err(_) => polling.due = polling.pacer.failed(now),
+            // A text beyond the limits, or none that is HTTP.
+            Err(ExchangeError::Unreadable(_)) => polling.invalid_answer_received(now),
+            Err(ExchangeError::NotSent | ExchangeError::Closed) => polling.due = polling.pacer.failed(now),
         }
     }
 
@@ -216,10 +227,9 @@
 
     fn invalid_version_received(&mut self, faults: &[Fault]) {
         let first = faults.first().map(|fault| fault.to_string()).unwrap_or_default();
-        // Without a digest there is no tag to poll against: the poll for its successor is paced like a retry.
         if let Some(agreement) = &mut self.agreement {
             let now = agreement.clock.now();
-            agreement.polling.iter_mut().for_each(|polling| polling.due = polling.pacer.failed(now));
+            agreement.polling.iter_mut().for_each(|polling| polling.invalid_answer_received(now));
         }
         tracing::error!(
             first,
--- a/crates/aldercrank-testbench/tests/suite/versions.rs
+++ b/crates/aldercrank-testbench/tests/suite/versions.rs
@@ -212,3 +212,25 @@
     let outcome = plays("overlap", steps);
     assert_eq!(acted_on(&outcome), 3, "the first version and both that were published");
 }
+
+/// Publishes an invalid text of this kind and, while it has stood for some seconds, two versions one after the other.
+fn publishes_valid_versions_after_an_invalid_one(name: &str, kind: &str) {
+    let steps = format!(
+        "at 1 \"rules-broken\" kind=\"{kind}\"\nat 5.5 \"rules\" set=\"licence-buy.points=6\"\n\
+        at 7 \"rules\" set=\"licence-buy.points=7\"\n"
+    );
+    let outcome = plays(name, &steps);
+    assert_eq!(acted_on(&outcome), 3, "the first version and both valid ones that were published");
+}
+
+/// Guards against reads of the membership service that grow rarer the longer an invalid text stands there.
+#[test]
+fn a_version_published_after_an_invalid_one_takes_effect_before_the_next_replaces_it() {
+    publishes_valid_versions_after_an_invalid_one("after-invalid", "cut");
+}
+
+/// The same where the text is too long to be read.
+#[test]
+fn a_version_published_after_an_overlong_one_takes_effect_before_the_next_replaces_it() {
+    publishes_valid_versions_after_an_invalid_one("after-overlong", "long");
+}
