A version read while another is being decided waits for its turn and is decided next

Callers were served by the version before until yet another one was published.

Cause: CommitteeMember::version_proposed rejected a number above the one being decided, while VersionPolling had noted its entity tag as known: the membership service then holds back its answer, and no member asks again. Proposals::insert dropped a higher number in favour of a lower one, with the same effect.

Change: Proposals keeps the number to decide, the highest one that waits, and the one accepted; after each decision the time for evaluation begins anew. A version withdrawn while it waits is removed.

--- a/crates/aldercrank-consensus/src/error.rs
+++ b/crates/aldercrank-consensus/src/error.rs
@@ -13,7 +13,7 @@
         /// The number decided last.
         last: u64,
     },
-    /// A decision on this number has been accepted, and may have been chosen.
+    /// A decision on this higher number has been accepted, and may have been chosen.
     #[error("{number} is being decided on")]
     DecisionInProgress {
         /// The accepted number.
@@ -22,10 +22,4 @@
     /// The text does not match its version id or can't be parsed.
     #[error("its text is not what its digest says, or can't be read")]
     UnreadableText,
-    /// A proposal with a lower number is decided first. This one may be proposed again later.
-    #[error("{number} is being decided on first")]
-    LowerNumberFirst {
-        /// The lower number.
-        number: u64,
-    },
 }
--- a/crates/aldercrank-consensus/src/member/acceptor.rs
+++ b/crates/aldercrank-consensus/src/member/acceptor.rs
@@ -44,6 +44,11 @@
         self.accepted.as_ref()
     }
 
+    /// The number of the accepted decision.
+    pub(super) fn accepted_number(&self) -> Option<u64> {
+        self.accepted.as_ref().map(|accepted| accepted.decision.version_id.number)
+    }
+
     /// Promises to accept nothing below this ballot, which is not below the present one.
     pub(super) fn promise(&mut self, ballot: Ballot) {
         self.promised = ballot;
--- a/crates/aldercrank-consensus/src/member/events.rs
+++ b/crates/aldercrank-consensus/src/member/events.rs
@@ -122,7 +122,8 @@
     }
 
     /// A version is proposed: read at the membership service, submitted by an operator, or sent by another member.
-    /// A proposal that is known already is no error.
+    /// A proposal that is known already is no error. One that arrives while a lower number is being decided is decided
+    /// after it.
     ///
     /// # Errors
     /// Why the version is not taken as a proposal.
@@ -140,17 +141,16 @@
         if number <= last {
             return Err(ProposalError::AlreadyDecided { number, last });
         }
-        if let Some(accepted) = self.acceptor.accepted() {
-            let number = accepted.decision.version_id.number;
+        let accepted_number = self.acceptor.accepted_number();
+        if let Some(number) = accepted_number.filter(|accepted| number < *accepted) {
             return Err(ProposalError::DecisionInProgress { number });
         }
         let summary = environment
             .read(&version_id, &version.text, Some(&self.version))
             .ok_or(ProposalError::UnreadableText)?;
-        if let Some(first) = self.proposals.first_id().filter(|first| first.number < number) {
-            return Err(ProposalError::LowerNumberFirst { number: first.number });
-        }
-        if self.proposals.insert(Proposal { version, summary, received_at: now }) {
+        self.proposals.insert(Proposal { version, summary, received_at: now }, accepted_number);
+        let is_decided_next = self.proposals.first_id().is_some_and(|first| first.number == number);
+        if is_decided_next && self.proposals.find(&version_id).is_some() {
             environment.notify(Some(version_id));
             // The other members fetch it, so that their followers evaluate it at the same time.
             self.check(now, environment);
@@ -166,7 +166,7 @@
         number: u64,
         environment: &mut impl MemberEnvironment,
     ) {
-        if self.proposals.withdraw(number) {
+        if self.proposals.withdraw(number, self.acceptor.accepted_number()) {
             self.review_proposal(now, environment);
         }
     }
--- a/crates/aldercrank-consensus/src/member/learning.rs
+++ b/crates/aldercrank-consensus/src/member/learning.rs
@@ -193,7 +193,7 @@
         self.proposer.abandon_round();
         self.confirmation.reset();
         let before = &self.version;
-        self.proposals.rebase(committed.last, |proposed| {
+        self.proposals.rebase(now, committed.last, |proposed| {
             environment.read(&proposed.version_id, &proposed.text, Some(before))
         });
         self.conflicting_members.clear();
--- a/crates/aldercrank-consensus/src/member/proposals.rs
+++ b/crates/aldercrank-consensus/src/member/proposals.rs
@@ -1,4 +1,7 @@
 //! Proposed versions that are not decided, and this member's tally of its followers' evaluations.
+//!
+//! The lowest number is decided first. A higher one that arrives meanwhile waits for its turn: its publisher does not
+//! send it again.
 
 use super::followers::FollowerRegistry;
 use crate::messages::{ConfigVersion, ProposalTally, ServerName, VersionId, VersionSummary};
@@ -6,7 +9,7 @@
 use std::time::Duration;
 
 /// Most proposals of one number. Two contents for one number are refused anyway.
-const MAX_PROPOSALS: usize = 2;
+const MAX_CONTENTS: usize = 2;
 
 /// A proposed version with its text.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -16,7 +19,7 @@
     pub(super) received_at: Duration,
 }
 
-/// Proposals of one number, in the order of their version ids.
+/// Proposals in the order of their version ids: those of the number to decide, then those that wait for their turn.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(super) struct Proposals {
     proposals: Vec<Proposal>,
@@ -40,25 +43,34 @@
         self.proposals.iter().find(|proposal| proposal.version.version_id == *version_id)
     }
 
-    /// Adds a proposal, in place of those with a higher number. Returns whether there was capacity for it.
-    pub(super) fn insert(&mut self, proposal: Proposal) -> bool {
+    /// Adds a proposal unless there is no capacity for its number. Of the numbers that wait, the highest replaces the
+    /// others, except for the one that this member has accepted a decision on.
+    pub(super) fn insert(&mut self, proposal: Proposal, accepted_number: Option<u64>) {
         let number = proposal.version.version_id.number;
-        self.proposals.retain(|other| other.version.version_id.number == number);
-        if self.proposals.len() >= MAX_PROPOSALS {
-            return false;
+        if self.of_number(number).count() >= MAX_CONTENTS {
+            return;
         }
         self.proposals.push(proposal);
         self.proposals.sort_by_key(|proposal| proposal.version.version_id);
-        true
+        let numbers = self.proposals.iter().map(|proposal| proposal.version.version_id.number);
+        let kept = [numbers.clone().min(), numbers.max(), accepted_number];
+        self.proposals.retain(|proposal| kept.contains(&Some(proposal.version.version_id.number)));
     }
 
-    /// Marks the proposal of this number as withdrawn. Returns whether there is one.
-    pub(super) fn withdraw(&mut self, number: u64) -> bool {
-        let proposed = self.first_id().is_some_and(|version_id| version_id.number == number);
-        if proposed {
+    fn of_number(&self, number: u64) -> impl Iterator<Item = &Proposal> {
+        self.proposals.iter().filter(move |proposal| proposal.version.version_id.number == number)
+    }
+
+    /// Marks the proposal of this number as withdrawn if it is decided next, and removes it if it waits, unless this
+    /// member has accepted a decision on it. Returns whether it was marked.
+    pub(super) fn withdraw(&mut self, number: u64, accepted_number: Option<u64>) -> bool {
+        let is_decided_next = self.first_id().is_some_and(|version_id| version_id.number == number);
+        if is_decided_next {
             self.withdrawn = Some(number);
+        } else if accepted_number != Some(number) {
+            self.proposals.retain(|proposal| proposal.version.version_id.number != number);
         }
-        proposed
+        is_decided_next
     }
 
     /// Returns whether the proposal's complete tally has yet to be sent, and notes that it is now.
@@ -66,14 +78,17 @@
         self.announced.replace(version_id) != Some(version_id)
     }
 
-    /// Another number was decided: removes what is decided, and summarizes the rest against the new version.
+    /// Another number was decided: removes what is decided, and summarizes the rest against the new version. The time
+    /// for its evaluation begins now.
     pub(super) fn rebase(
         &mut self,
+        now: Duration,
         last_decided: u64,
         mut summarize: impl FnMut(&ConfigVersion) -> Option<VersionSummary>,
     ) {
         self.proposals.retain(|proposal| proposal.version.version_id.number > last_decided);
         for proposal in &mut self.proposals {
+            proposal.received_at = now;
             if let Some(summary) = summarize(&proposal.version) {
                 proposal.summary = summary;
             }
@@ -99,8 +114,9 @@
                 None => {}
             }
         }
-        if let [first, second, ..] = &self.proposals[..] {
-            let (first, second) = (first.version.version_id, second.version.version_id);
+        let other_content = self.of_number(version_id.number).nth(1);
+        if let Some(other) = other_content {
+            let (first, second) = (version_id, other.version.version_id);
             tally.object(&format!("one number with two contents, {first} and {second}"));
         } else if self.withdrawn == Some(version_id.number) {
             tally.object("withdrawn");
--- a/crates/aldercrank-consensus/tests/agreement_bound.rs
+++ b/crates/aldercrank-consensus/tests/agreement_bound.rs
@@ -252,6 +252,26 @@
     }
 }
 
+/// A version that arrives during a decision is not remembered as read and forgotten.
+#[test]
+fn a_version_read_while_another_is_being_decided_is_decided_after_it() {
+    for late in 0..16 {
+        let mut fleet = started_fleet(7);
+        fleet.delay = (MILLISECOND * 15, MILLISECOND * 15);
+        (0..3).for_each(|member| fleet.propose(member, &version(2, &[0, 1, 2], "servers=7")));
+        fleet.run_for(MILLISECOND * 10 * late);
+        // Each member reads it once.
+        (0..3).for_each(|member| fleet.propose(member, &version(3, &[0, 1, 2], "servers=7")));
+        let end = fleet.now + SECOND;
+        while fleet.servers_using(2) < 7 && fleet.now < end {
+            fleet.run_for(MILLISECOND);
+        }
+        assert_eq!(fleet.servers_using(2), 7, "{late}");
+        fleet.run_for(SECOND * 2);
+        assert_eq!(fleet.servers_using(3), 7, "{late}");
+    }
+}
+
 #[test]
 fn a_version_changes_the_committee_and_the_new_one_decides() {
     let mut fleet = started_fleet(9);
