A restarting member takes over its accepted decision before it confirms anything

Effect: a committee member that restarts with its stored state could, with one other member, confirm the committed state although it had accepted a decision that follows it and may have been chosen. Leases on the version before then last for a bound after the restart, so two versions can be in use for longer than the agreement bound. Found by reading, as kin of the version lost during a decision; nobody has reported it.

Cause: CommitteeMember::restore proposed the stored text, which sends a check and counts the member's own vote, and set the acceptor state only afterwards.

Change: the acceptor state is set first.

--- a/crates/aldercrank-consensus/src/member/state.rs
+++ b/crates/aldercrank-consensus/src/member/state.rs
@@ -105,13 +105,16 @@
         Some(member)
     }
 
+    /// Takes over the stored acceptor state. The accepted decision comes before its text, which begins a check: what may
+    /// have been chosen must not be reported as nothing.
     fn restore(&mut self, now: Duration, state: AcceptorState, environment: &mut impl MemberEnvironment) {
-        if let Some((text, accepted)) = state.accepted_text.zip(state.accepted.as_ref()) {
-            let version = ConfigVersion { version_id: accepted.decision.version_id, text };
+        let AcceptorState { accepted, accepted_text, promised, .. } = state;
+        let accepted_id = accepted.as_ref().map(|accepted| accepted.decision.version_id);
+        self.acceptor = Acceptor::new(now, promised, accepted);
+        if let Some((version_id, text)) = accepted_id.zip(accepted_text) {
             // A text that is refused here can still be fetched from another member.
-            let _ = self.version_proposed(now, version, environment);
+            let _ = self.version_proposed(now, ConfigVersion { version_id, text }, environment);
         }
-        self.acceptor = Acceptor::new(now, state.promised, state.accepted);
     }
 
     /// The committed state, as this member knows it.
--- /dev/null
+++ b/crates/aldercrank-consensus/tests/committee_member.rs
@@ -0,0 +1,112 @@
+//! A committee member alone: what it keeps over a decision and over a restart.
+
+// Support code is shared by several tests.
+#![allow(dead_code)]
+
+mod support;
+
+use aldercrank_consensus::member::AcceptorState;
+use aldercrank_consensus::messages::{AcceptedDecision, Ballot, Verdict, VersionSummary};
+use aldercrank_consensus::{
+    CommittedState, CommitteeMember, ConfigVersion, Decision, MemberIdentity, PeerRequest, PeerResponse,
+    ProposalTally, ServerName, Timing, VersionId,
+};
+use std::sync::Arc;
+use std::time::Duration;
+use support::{SentRequest, TestEnvironment};
+
+const START: Duration = Duration::from_secs(100);
+const AGREEMENT_BOUND: Duration = Duration::from_secs(2);
+const ISOLATION_LIMIT: Duration = Duration::from_secs(60);
+
+fn committee() -> Vec<ServerName> {
+    ["n1", "n2", "n3"].map(ServerName::new).to_vec()
+}
+
+fn environment() -> TestEnvironment {
+    TestEnvironment::new(|_, _| Some(VersionSummary { committee: committee(), ..VersionSummary::default() }))
+}
+
+fn version(number: u64) -> ConfigVersion {
+    let version_id = VersionId { number, digest: [number as u8; 32] };
+    ConfigVersion { version_id, text: Arc::from(format!("version {number}")) }
+}
+
+fn committed(number: u64) -> CommittedState {
+    CommittedState { last: number, version_id: version(number).version_id }
+}
+
+/// A restarted member with this acceptor state, on which version 1 is committed.
+fn restarted_member(
+    accepted: Option<AcceptedDecision>,
+    environment: &mut TestEnvironment,
+) -> CommitteeMember {
+    let accepted_version = accepted.as_ref().map(|accepted| version(accepted.decision.version_id.number));
+    let state = AcceptorState {
+        committed: committed(1),
+        text: version(1).text,
+        promised: accepted.as_ref().map(|accepted| accepted.ballot.clone()).unwrap_or_default(),
+        accepted,
+        accepted_text: accepted_version.map(|version| version.text),
+    };
+    let identity = MemberIdentity { name: committee()[0].clone(), incarnation: 2 };
+    let timing = Timing::new(AGREEMENT_BOUND, ISOLATION_LIMIT);
+    CommitteeMember::new(START, identity, version(1), Some(state), timing, environment).unwrap()
+}
+
+/// Answers the checks that were sent to n3, which knows of nothing after version 1. With the member itself, it is a
+/// majority.
+fn confirm_checks(member: &mut CommitteeMember, environment: &mut TestEnvironment) {
+    for SentRequest { to, correlation_id, request } in std::mem::take(&mut environment.actions.requests) {
+        if to == committee()[2] && matches!(request, PeerRequest::Check { .. }) {
+            let response = PeerResponse::Checked {
+                committed: committed(1),
+                active: true,
+                accepted: None,
+                tally: ProposalTally::default(),
+            };
+            member.handle_response(START, correlation_id, response, environment);
+        }
+    }
+}
+
+/// A lease on the version before a decision that may have been chosen would outlast the agreement bound.
+#[test]
+fn a_restarted_member_that_has_accepted_a_decision_confirms_nothing_before_it() {
+    let mut environment = environment();
+    let mut member = restarted_member(None, &mut environment);
+    member.timer_fired(START, &mut environment);
+    confirm_checks(&mut member, &mut environment);
+    assert!(member.is_confirmed(START), "nothing has been accepted");
+
+    let ballot = Ballot { round: 1, proposer: Some(committee()[1].clone()), incarnation: 1 };
+    let decision = Decision { version_id: version(2).version_id, verdict: Verdict::Committed };
+    let mut environment = self::environment();
+    let mut member = restarted_member(Some(AcceptedDecision { ballot, decision }), &mut environment);
+    confirm_checks(&mut member, &mut environment);
+    assert!(!member.is_confirmed(START), "version 2 may have been chosen");
+}
+
+/// Members that have recovered a decision without its text can't accept it anew before they have the text.
+#[test]
+fn a_member_takes_the_text_of_a_decision_that_it_has_accepted() {
+    let mut environment = environment();
+    let ballot = Ballot { round: 1, proposer: Some(committee()[1].clone()), incarnation: 1 };
+    let decision = Decision { version_id: version(2).version_id, verdict: Verdict::Committed };
+    let identity = MemberIdentity { name: committee()[0].clone(), incarnation: 2 };
+    let timing = Timing::new(AGREEMENT_BOUND, ISOLATION_LIMIT);
+    let state = AcceptorState {
+        committed: committed(1),
+        text: version(1).text,
+        promised: ballot.clone(),
+        accepted: Some(AcceptedDecision { ballot: ballot.clone(), decision: decision.clone() }),
+        accepted_text: None,
+    };
+    let mut member =
+        CommitteeMember::new(START, identity, version(1), Some(state), timing, &mut environment).unwrap();
+    let accept = PeerRequest::Accept { after: 1, ballot: Ballot { round: 2, ..ballot }, decision };
+    let response = member.handle_request(START, accept.clone(), &mut environment);
+    assert_eq!(response, PeerResponse::TextMissing { version_id: version(2).version_id });
+    member.version_proposed(START, version(2), &mut environment).unwrap();
+    assert_eq!(member.handle_request(START, accept, &mut environment), PeerResponse::Accepted);
+}
