A withdrawal is kept until its number is decided

Effect: a version that its publisher had withdrawn could take effect, if a lower number was decided between the withdrawal and its own decision. Found by reading, as kin of the version lost during a decision.

Cause: Proposals::rebase cleared the withdrawal with every decision, that on a lower number included. The membership service answers a withdrawal once, so no member hears of it again.

Change: the withdrawal is cleared once its number is decided.

--- a/crates/aldercrank-consensus/src/member/proposals.rs
+++ b/crates/aldercrank-consensus/src/member/proposals.rs
@@ -93,7 +93,8 @@
                 proposal.summary = summary;
             }
         }
-        (self.withdrawn, self.announced) = (None, None);
+        self.withdrawn = self.withdrawn.filter(|number| *number > last_decided);
+        self.announced = None;
     }
 
     /// What this member knows of the first proposal. `servers` are those that the committed version names.
--- a/crates/aldercrank-consensus/tests/committee_member.rs
+++ b/crates/aldercrank-consensus/tests/committee_member.rs
@@ -87,6 +87,22 @@
     assert!(!member.is_confirmed(START), "version 2 may have been chosen");
 }
 
+/// A withdrawn version must not be committed because a lower number was decided meanwhile.
+#[test]
+fn a_withdrawn_proposal_stays_withdrawn_after_the_decision_on_a_lower_number() {
+    let mut environment = environment();
+    let mut member = restarted_member(None, &mut environment);
+    member.version_proposed(START, version(4), &mut environment).unwrap();
+    // The other members are not reached, so it is not decided yet.
+    member.proposal_withdrawn(START, 4, &mut environment);
+    assert_eq!(member.blocked_by(START).as_deref(), Some("withdrawn"));
+    let decision =
+        Decision { version_id: version(3).version_id, verdict: Verdict::Refused("a reason".to_string()) };
+    member.handle_request(START, PeerRequest::Learn { after: 1, decision }, &mut environment);
+    assert_eq!(member.committed().last, 3);
+    assert_eq!(member.blocked_by(START).as_deref(), Some("withdrawn"));
+}
+
 /// Members that have recovered a decision without its text can't accept it anew before they have the text.
 #[test]
 fn a_member_takes_the_text_of_a_decision_that_it_has_accepted() {
