A reload moves the polls for versions to the new membership service at once

Effect: after SIGHUP with another address of the membership service, reports went there at once, polls for versions of the configuration up to seven seconds later. A version published meanwhile was read late, one replaced sooner never, and a 404 of the earlier service withdrew a proposal. Found by reading, as kin of the version lost during a decision.

Cause: Server::addresses_changed closes the outstanding reports, not the outstanding poll, and the entity tag stayed known.

Change: the outstanding poll is closed, what is known of the earlier service is dropped, and the next poll is due now.

Evidence: version_polling::a_reload_that_moves_the_membership_service_moves_the_polls_at_once failed before (no poll within two seconds, 2 of 2 runs) and passes now (5 of 5).

--- a/crates/aldercrank-server/src/net/config_agreement/version_polling.rs
+++ b/crates/aldercrank-server/src/net/config_agreement/version_polling.rs
@@ -6,6 +6,7 @@
 use crate::config::Config;
 use crate::http::Response;
 use crate::membership;
+use crate::net::connection::EventLoopHandle;
 use crate::net::http_exchange::{ExchangeError, HttpExchange};
 use crate::net::Server;
 use aldercrank_consensus::ConfigVersion;
@@ -86,6 +87,15 @@
         self.due
     }
 
+    /// The membership service has moved: nothing is known of what the new one has, and it is polled now.
+    fn service_moved(&mut self, now: Duration, event_loop: &EventLoopHandle) {
+        if let Some(poll) = self.outstanding.take() {
+            poll.exchange.close(event_loop);
+        }
+        self.known = None;
+        self.due = now;
+    }
+
     /// Without a digest there is no tag to poll against, so the service can't hold back its answer until there is a
     /// valid version.
     fn invalid_answer_received(&mut self, now: Duration) {
@@ -99,6 +109,14 @@
 }
 
 impl Server {
+    /// Polls the membership service at its new address, where versions are polled.
+    pub(in crate::net) fn poll_moved_service(&mut self) {
+        let event_loop = self.net().event_loop.clone();
+        self.update_agreement(|agreement, now| {
+            agreement.polling.iter_mut().for_each(|polling| polling.service_moved(now, &event_loop));
+        });
+    }
+
     /// Starts the next poll if it is due, or gives up the outstanding one if its time is over.
     pub(super) fn poll_versions(&mut self) {
         let event_loop = self.net().event_loop.clone();
--- a/crates/aldercrank-server/src/net/config_reload.rs
+++ b/crates/aldercrank-server/src/net/config_reload.rs
@@ -54,6 +54,9 @@
         if pool_moved {
             self.pool_address_changed();
         }
+        if membership_moved {
+            self.poll_moved_service();
+        }
         if membership_moved && self.core.is_some() {
             self.report_soon();
         }
--- a/crates/aldercrank-server/tests/suite/harness.rs
+++ b/crates/aldercrank-server/tests/suite/harness.rs
@@ -241,6 +241,15 @@
         })
     }
 
+    /// The same with this service file.
+    pub fn start_with_service(
+        service: &std::path::Path,
+        answer: impl Fn(&str) -> Option<String> + Send + 'static + Clone,
+    ) -> Program {
+        let script = format!("exec \"$0\" serve --service '{}'", service.display());
+        Program::launch(&script, Some(answer), |_| ())
+    }
+
     fn launch(
         script: &str,
         answer: Option<impl Fn(&str) -> Option<String> + Send + 'static + Clone>,
--- a/crates/aldercrank-server/tests/suite/main.rs
+++ b/crates/aldercrank-server/tests/suite/main.rs
@@ -25,6 +25,7 @@
 mod phase;
 mod state_file;
 mod tables;
+mod version_polling;
 mod worker_pool_link;
 
 #[path = "../../../../tests/golden/compare.rs"]
