--- a/crates/aldercrank-test-cluster/src/cluster/connections.rs
+++ b/crates/aldercrank-test-cluster/src/cluster/connections.rs
@@ -127,11 +127,12 @@
     }
 
     /// Changes the bytes to an edge node by an injected violation, once; `None` if they stay as they are.
-    fn inject_into_response(&mut self, now: Duration, bytes: &[u8]) -> Option<Vec<u8>> {
+    fn inject_into_response(&mut self, now: Duration, conn: ConnNo, bytes: &[u8]) -> Option<Vec<u8>> {
         let kind = self.scenario.injected_violation.filter(|kind| self.may_inject(*kind, now))?;
         let attempt_id = attempt_id_range(bytes)?;
         let mut changed = bytes.to_vec();
         match kind {
+            InjectedViolation::LoseLastAnswer if self.edges.is_closing(conn) => changed.clear(),
             InjectedViolation::LoseAnswer => changed.clear(),
             InjectedViolation::DoubleAnswer => changed.extend_from_slice(bytes),
             InjectedViolation::SwapResult => changed.get_mut(attempt_id)?.fill(b'f'),
@@ -152,7 +153,7 @@
     }
 
     fn deliver_to_edge(&mut self, now: Duration, conn: ConnNo, bytes: &[u8]) {
-        let changed = self.inject_into_response(now, bytes);
+        let changed = self.inject_into_response(now, conn, bytes);
         let bytes = changed.as_deref().unwrap_or(bytes);
         if let Err(invalid) = self.edges.bytes_received(now, conn, bytes, &mut self.testbed) {
             if !self.testbed.is_connection_corrupted(conn) {
--- a/crates/aldercrank-test-cluster/src/cluster/faults.rs
+++ b/crates/aldercrank-test-cluster/src/cluster/faults.rs
@@ -26,9 +26,12 @@
     /// Asks a server to shut down.
     pub(super) fn request_shutdown(&mut self, now: Duration, number: ServerNo) {
         let injects = self.violation_is_pending(InjectedViolation::LateStart);
+        let ignores = self.violation_is_pending(InjectedViolation::IgnoreTerm) && !self.is_over;
         let server = &mut self.servers[number.0 as usize];
         let Some(process) = server.process.as_ref().filter(|_| !server.draining) else { return };
-        process.request_shutdown();
+        if !ignores {
+            process.request_shutdown();
+        }
         server.draining = true;
         // The injected violation: as if it had been asked long ago.
         let asked_at = if injects { now.saturating_sub(self.scenario.fleet.drain_grace * 4) } else { now };
@@ -47,7 +50,7 @@
         }
     }
 
-    fn kill(&mut self, number: ServerNo) {
+    pub(super) fn kill(&mut self, number: ServerNo) {
         let server = self.server(number);
         if let Some(process) = &mut server.process {
             server.killed = true;
@@ -84,6 +87,14 @@
                 Ok(())
             }
             Fault::RefuseConnections(remote) => self.set_accepts(number, *remote, Accepts::No),
+            Fault::Signals(series) => {
+                self.begin_signals(now, index, number, series);
+                Ok(())
+            }
+            Fault::IdleConnections(count) => {
+                self.edges.open_idle_connections(now, number, *count, &mut self.testbed);
+                Ok(())
+            }
             Fault::MembershipWrong => self.begin_shared_fault(now, index),
             _ => {
                 self.begin_pool_fault(now, index, number);
@@ -211,13 +222,7 @@
             }
             Fault::SlowPool(_) => self.set_pool_speed(now, number, 1.0),
             Fault::FailingRuns(_) => self.server(number).failing_share = 0.0,
-            Fault::PoolCrash => {
-                let pool = self.new_pool(now, true, Duration::ZERO);
-                let server = self.server(number);
-                (server.pool, server.run_seconds) = (pool, 0.0);
-                let port = server.ports[&RemoteEndpoint::WorkerPool];
-                self.testbed.sockets.reopen_listener(port)?;
-            }
+            Fault::PoolCrash => self.start_cold_pool(now, number)?,
             Fault::CorruptLink { remote, to_server, from_server } => {
                 let link = LinkId { server: number, remote: *remote };
                 self.end_corruption(now, link, to_server.as_ref(), from_server.as_ref());
@@ -285,7 +290,7 @@
     }
 
     /// The worker pool's process ends, with all runs.
-    fn remove_pool(&mut self, now: Duration, number: ServerNo) {
+    pub(super) fn remove_pool(&mut self, now: Duration, number: ServerNo) {
         let server = &self.servers[number.0 as usize];
         self.testbed.sockets.close_listener(server.ports[&RemoteEndpoint::WorkerPool]);
         if let Some(link) = server.link {
@@ -297,6 +302,15 @@
         (server.pool, server.run_seconds) = (pool, 0.0);
     }
 
+    /// A cold worker pool starts in place of one that has ended.
+    pub(super) fn start_cold_pool(&mut self, now: Duration, number: ServerNo) -> io::Result<()> {
+        let pool = self.new_pool(now, true, Duration::ZERO);
+        let server = self.server(number);
+        (server.pool, server.run_seconds) = (pool, 0.0);
+        let port = server.ports[&RemoteEndpoint::WorkerPool];
+        self.testbed.sockets.reopen_listener(port)
+    }
+
     /// Resets the link to a worker pool, and sets the timer for the next reset.
     pub(super) fn reset_pool_link(&mut self, now: Duration, index: usize, number: ServerNo) {
         let step = &self.scenario.timeline[index];
--- a/crates/aldercrank-test-cluster/src/cluster/mod.rs
+++ b/crates/aldercrank-test-cluster/src/cluster/mod.rs
@@ -11,6 +11,7 @@
 mod prepare;
 mod run;
 mod sample;
+mod signals;
 mod start;
 mod state;
 mod stub_services;
--- a/crates/aldercrank-test-cluster/src/cluster/run.rs
+++ b/crates/aldercrank-test-cluster/src/cluster/run.rs
@@ -216,6 +216,13 @@
                 self.testbed.set_timer(now + LIMITS_INTERVAL, Timer::CheckLimits);
             }
             Timer::StartServer(server) => self.start_server(server, PoolStart::Cold, StartConfig::Valid)?,
+            Timer::SendSignal(step, server, incarnation, index) => {
+                self.send_signal(now, step, server, incarnation, index)?;
+            }
+            Timer::RequestBurst(server, incarnation) => self.request_burst(now, server, incarnation),
+            Timer::KillAtStopTimeout(server, incarnation) => {
+                self.kill_at_stop_timeout(now, server, incarnation)?;
+            }
             Timer::ResetPoolLink(step, server) => self.reset_pool_link(now, step, server),
             Timer::ConfigReadTimeout => self.answer_timed_out_config_reads(now),
             Timer::PublishVersion(step) => self.publish_next(now, step),
--- a/crates/aldercrank-test-cluster/src/cluster/start.rs
+++ b/crates/aldercrank-test-cluster/src/cluster/start.rs
@@ -5,6 +5,7 @@
 use crate::ids::ServerNo;
 use crate::process::Process;
 use std::io;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// All servers must be listed by then, however slow their machine is made.
@@ -58,13 +59,9 @@
         (server.run_seconds, server.waited) = (0.0, Duration::ZERO);
         server.call_results.clear();
         self.testbed.incarnations[number.0 as usize] = server.incarnation;
-        let config_file = self.options.dir.join(format!("{number}.json"));
-        let mut text = config::config(self.scenario, number, cold, &server.addresses);
-        if start_config == StartConfig::Invalid {
-            text["listen"] = "nowhere".into();
-        }
-        std::fs::write(&config_file, text.to_string())?;
-        let log = self.options.dir.join(format!("{number}.{}.log", server.incarnation.0));
+        let incarnation = server.incarnation;
+        let config_file = self.write_config_for(number, cold, start_config)?;
+        let log = self.options.dir.join(format!("{number}.{}.log", incarnation.0));
         let config_file = config_file.to_string_lossy();
         let service_file = service_file.map(|file| file.to_string_lossy().into_owned());
         let mut args = vec!["serve", &*config_file];
@@ -75,12 +72,34 @@
             // `why` of the testbench reads these logs.
             args.extend(["--json-log", "--log-txns"]);
         }
-        server.process = Some(Process::start(&self.options.program, &args, &log)?);
+        let process = Process::start(&self.options.program, &args, &log)?;
+        self.server(number).process = Some(process);
         self.totals.starts += 1;
         self.testbed.record.note(now, None, Some(number), || "started".to_string());
         Ok(())
     }
 
+    /// Writes the configuration that a running server reads at a reload.
+    pub(super) fn write_config(&mut self, number: ServerNo, start_config: StartConfig) -> io::Result<()> {
+        self.write_config_for(number, false, start_config).map(|_| ())
+    }
+
+    fn write_config_for(
+        &self,
+        number: ServerNo,
+        cold: bool,
+        start_config: StartConfig,
+    ) -> io::Result<PathBuf> {
+        let config_file = self.options.dir.join(format!("{number}.json"));
+        let addresses = &self.servers[number.0 as usize].addresses;
+        let mut text = config::config(self.scenario, number, cold, addresses);
+        if start_config == StartConfig::Invalid {
+            text["listen"] = "nowhere".into();
+        }
+        std::fs::write(&config_file, text.to_string())?;
+        Ok(config_file)
+    }
+
     /// Waits until all servers are listed and linked to their pools.
     ///
     /// # Errors
--- a/crates/aldercrank-test-cluster/src/edge_nodes.rs
+++ b/crates/aldercrank-test-cluster/src/edge_nodes.rs
@@ -11,6 +11,6 @@
 mod state;
 
 pub use host::{EdgeHost, EdgeTimer};
-pub use policy::{CallerPolicy, RequestClass, ServerChoice};
+pub use policy::{CallerPolicy, ConnectionUsage, RequestClass, ServerChoice};
 pub use request::{request_body, Request, RequestEnd};
 pub use state::EdgeNodes;
--- a/crates/aldercrank-test-cluster/src/edge_nodes/attempts.rs
+++ b/crates/aldercrank-test-cluster/src/edge_nodes/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::host::{EdgeHost, EdgeTimer};
 use super::request::{request_body, Request, RequestEnd};
-use super::state::{EdgeNodes, OpenCall, OVERDUE_CHECK_DELAY};
+use super::state::{ConnectionUse, EdgeNodes, OpenCall, OVERDUE_CHECK_DELAY};
 use crate::ids::{ClassNo, ConnNo, EdgeNo, ReplyTo, RequestNo, ServerNo};
 use crate::invariant_checker::{Attempt, Effect};
 use crate::random::fnv1a_hash;
@@ -39,6 +39,44 @@
         priority: f64,
         host: &mut impl EdgeHost,
     ) {
+        let number = self.add_request(now, edge, class_no, priority, host);
+        self.start_attempt(now, number, host);
+    }
+
+    /// A request arrives whose first attempt is sent on this connection. Nothing happens if that is gone.
+    pub fn request_on_connection(
+        &mut self,
+        now: Duration,
+        conn: ConnNo,
+        class_no: ClassNo,
+        priority: f64,
+        host: &mut impl EdgeHost,
+    ) {
+        let Some(edge) = self.connections.get(&conn).map(|connection| connection.edge) else { return };
+        let number = self.add_request(now, edge, class_no, priority, host);
+        self.send_attempt(now, number, conn, host);
+    }
+
+    /// The connections on which requests are sent to a server.
+    pub fn connections_in_use(&self, now: Duration, server: ServerNo) -> Vec<ConnNo> {
+        let usage = self.policy.connection_usage;
+        let in_use = self.connections.iter().filter(|(_, connection)| {
+            connection.server == server
+                && connection.used_for == ConnectionUse::Requests
+                && connection.established
+                && connection.takes_calls(now, usage)
+        });
+        in_use.map(|(conn, _)| *conn).collect()
+    }
+
+    fn add_request(
+        &mut self,
+        now: Duration,
+        edge: EdgeNo,
+        class_no: ClassNo,
+        priority: f64,
+        host: &mut impl EdgeHost,
+    ) -> RequestNo {
         let class = &self.classes[class_no.0 as usize];
         let number = RequestNo(self.requests.len() as u32);
         let request = Request {
@@ -65,7 +103,7 @@
         }
         self.requests.push(request);
         self.edge(edge).first_attempts += 1.0;
-        self.start_attempt(now, number, host);
+        number
     }
 
     pub(super) fn finish(
--- a/crates/aldercrank-test-cluster/src/edge_nodes/choose_server.rs
+++ b/crates/aldercrank-test-cluster/src/edge_nodes/choose_server.rs
@@ -1,7 +1,7 @@
 //! Chooses the server and the connection for an attempt.
 
 use super::host::EdgeHost;
-use super::policy::ServerChoice;
+use super::policy::{ConnectionUsage, ServerChoice};
 use super::state::{Connection, ConnectionUse, EdgeNode, EdgeNodes};
 use crate::ids::{ConnNo, EdgeNo, RequestNo, ServerNo};
 use std::time::Duration;
@@ -20,20 +20,32 @@
         !known.unhealthy && (avoidance_over || ignores_advice)
     }
 
+    /// The listed servers, and those to which there are connections if these are used all the same.
+    fn reachable_servers(&self, edge: &EdgeNode) -> Vec<ServerNo> {
+        let mut servers = edge.listed.clone();
+        if self.policy.connection_usage != ConnectionUsage::WhileListed {
+            let connected = edge.known.iter().filter(|(_, known)| !known.connections.is_empty());
+            let unlisted =
+                connected.map(|(server, _)| *server).filter(|server| !edge.listed.contains(server));
+            servers.extend(unlisted);
+        }
+        servers
+    }
+
     /// The servers to choose from: those that the request was not sent to yet, or all if there are none.
     fn candidates(&self, now: Duration, number: RequestNo) -> Vec<ServerNo> {
         let request = &self.requests[number.0 as usize];
         let edge = &self.edges[request.edge.0 as usize];
         let accepting = |server: &ServerNo| self.accepts_requests(edge, *server, now);
-        let untried: Vec<ServerNo> = edge
-            .listed
+        let reachable = self.reachable_servers(edge);
+        let untried: Vec<ServerNo> = reachable
             .iter()
             .copied()
             .filter(accepting)
             .filter(|server| !request.tried.contains(server))
             .collect();
         if untried.is_empty() {
-            edge.listed.iter().copied().filter(accepting).collect()
+            reachable.into_iter().filter(accepting).collect()
         } else {
             untried
         }
@@ -101,11 +113,11 @@
         server: ServerNo,
         host: &mut impl EdgeHost,
     ) -> Option<ConnNo> {
-        let connections = &self.connections;
+        let (connections, usage) = (&self.connections, self.policy.connection_usage);
         let known = self.edges[edge_no.0 as usize].known.entry(server).or_default();
         let has_capacity = |conn: &&ConnNo| {
             connections.get(conn).is_some_and(|connection| {
-                connection.open_calls.len() < MAX_OPEN_CALLS && connection.closing_since.is_none()
+                connection.open_calls.len() < MAX_OPEN_CALLS && connection.takes_calls(now, usage)
             })
         };
         let open_calls = |conn: &ConnNo| connections[conn].open_calls.len();
--- a/crates/aldercrank-test-cluster/src/edge_nodes/connections.rs
+++ b/crates/aldercrank-test-cluster/src/edge_nodes/connections.rs
@@ -3,9 +3,10 @@
 use super::attempts::AttemptRun;
 use super::choose_server::AVOID_AFTER_FAILURE;
 use super::host::{EdgeHost, EdgeTimer};
+use super::policy::ConnectionUsage;
 use super::request::RequestEnd;
-use super::state::{Connection, ConnectionUse, EdgeNodes, HealthCheck};
-use crate::ids::{ConnNo, EdgeNo, ReplyTo};
+use super::state::{Connection, ConnectionUse, EdgeNodes, HealthCheck, USE_AFTER_CLOSING};
+use crate::ids::{ConnNo, EdgeNo, ReplyTo, ServerNo};
 use crate::invariant_checker::ConnectionEnd;
 use aldercrank_protocol::msgpack_rpc;
 use std::time::Duration;
@@ -25,10 +26,23 @@
         }
     }
 
-    /// The server announced that it closes a connection: it gets no further call, and ends with its last one.
+    /// The server announced that it closes a connection: by the caller's policy, it gets no further call and ends with
+    /// its last one.
     pub(super) fn server_closes(&mut self, now: Duration, conn: ConnNo, host: &mut impl EdgeHost) {
         let Some(connection) = self.connections.get_mut(&conn) else { return };
         connection.closing_since = Some(now);
+        if self.policy.connection_usage == ConnectionUsage::UntilClosing {
+            host.set_edge_timer(now + USE_AFTER_CLOSING, EdgeTimer::CloseIfDrained(conn));
+        }
+        self.close_if_drained(now, conn, host);
+    }
+
+    /// Stops using a connection that the server closes, and closes it once all calls on it are answered.
+    pub(super) fn close_if_drained(&mut self, now: Duration, conn: ConnNo, host: &mut impl EdgeHost) {
+        let Some(connection) = self.connections.get(&conn) else { return };
+        if connection.takes_calls(now, self.policy.connection_usage) {
+            return;
+        }
         let is_idle = connection.open_calls.is_empty();
         let (edge, server) = (connection.edge, connection.server);
         self.known_server(edge, server).connections.retain(|other| *other != conn);
@@ -37,14 +51,6 @@
         }
     }
 
-    /// Closes a connection that the server closes, once all calls on it are answered.
-    pub(super) fn close_if_drained(&mut self, conn: ConnNo, host: &mut impl EdgeHost) {
-        let connection = self.connections.get(&conn);
-        if connection.is_some_and(|c| c.closing_since.is_some() && c.open_calls.is_empty()) {
-            self.close_connection(conn, host);
-        }
-    }
-
     fn close_connection(&mut self, conn: ConnNo, host: &mut impl EdgeHost) {
         host.close(conn);
         self.forget_connection(conn);
@@ -71,9 +77,13 @@
     ) {
         let Some(connection) = self.forget_connection(conn) else { return };
         let known = self.known_server(connection.edge, connection.server);
-        if connection.used_for == ConnectionUse::HealthChecks {
-            known.unhealthy = true;
-            return;
+        match connection.used_for {
+            ConnectionUse::Idle => return,
+            ConnectionUse::HealthChecks => {
+                known.unhealthy = true;
+                return;
+            }
+            ConnectionUse::Requests => {}
         }
         let is_clean = connection.closing_since.is_some()
             || (connection.established && connection.open_calls.is_empty());
@@ -86,7 +96,12 @@
             let crossed_close =
                 connection.closing_since.is_some_and(|closing| call.sent_at + CLOSE_CROSSING >= closing);
             let was_read = connection.established && !crossed_close;
-            let end = if was_read { end } else { ConnectionEnd::Injected };
+            let end = match end {
+                ConnectionEnd::ByServer if was_read => ConnectionEnd::ByServer,
+                ConnectionEnd::ByServer if connection.established => ConnectionEnd::BeforeRead,
+                _ if was_read => end,
+                _ => ConnectionEnd::Injected,
+            };
             host.connection_lost(now, reply_to, end);
             if self.is_current(call.request, reply_to) {
                 self.request(call.request).end_without_retry = RequestEnd::Failed;
@@ -96,6 +111,28 @@
         }
     }
 
+    /// Whether the server has announced that it closes the connection.
+    pub fn is_closing(&self, conn: ConnNo) -> bool {
+        self.connections.get(&conn).is_some_and(|connection| connection.closing_since.is_some())
+    }
+
+    /// Each edge node opens `count` connections to a server that it does not use.
+    pub fn open_idle_connections(
+        &mut self,
+        now: Duration,
+        server: ServerNo,
+        count: usize,
+        host: &mut impl EdgeHost,
+    ) {
+        for edge in 0..self.edges.len() {
+            let edge = EdgeNo(edge as u16);
+            for _ in 0..count {
+                let Some(conn) = host.connect(edge, server) else { return };
+                self.connections.insert(conn, Connection::new(edge, server, ConnectionUse::Idle, now));
+            }
+        }
+    }
+
     /// An edge node restarts: its connections end, and its callers are gone.
     pub fn restart(&mut self, now: Duration, edge: EdgeNo, host: &mut impl EdgeHost) {
         let own = self.connections.iter().filter(|(_, connection)| connection.edge == edge);
@@ -126,7 +163,8 @@
             let is_unlisted = !self.edges[edge_no.0 as usize].listed.contains(&connection.server);
             let is_idle = now.saturating_sub(connection.idle_since) >= self.policy.idle_timeout;
             let is_unused = connection.open_calls.is_empty() && connection.established;
-            if is_unused && (is_idle || is_unlisted) {
+            let follows_membership = self.policy.connection_usage == ConnectionUsage::WhileListed;
+            if is_unused && follows_membership && (is_idle || is_unlisted) {
                 self.close_connection(conn, host);
             }
         }
--- a/crates/aldercrank-test-cluster/src/edge_nodes/policy.rs
+++ b/crates/aldercrank-test-cluster/src/edge_nodes/policy.rs
@@ -16,6 +16,17 @@
     Sticky,
 }
 
+/// How long an edge node uses the connections that it has to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionUsage {
+    /// While the server is listed and has not announced that it closes the connection.
+    WhileListed,
+    /// Whether it is listed or not, and as long after the announcement as the protocol excuses.
+    UntilClosing,
+    /// Whatever is announced, until the connection ends.
+    UntilEnd,
+}
+
 /// The behaviour of callers and edge nodes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallerPolicy {
@@ -37,6 +48,8 @@
     pub idle_timeout: Duration,
     /// The share of callers that cancel at a random time before their deadline.
     pub cancel_probability: f64,
+    /// How long the connections to a server are used.
+    pub connection_usage: ConnectionUsage,
     /// Whether a request with an idempotency key is retried, on the same server, after its connection failed.
     pub retries_keyed_after_failure: bool,
 }
--- a/crates/aldercrank-test-cluster/src/edge_nodes/responses.rs
+++ b/crates/aldercrank-test-cluster/src/edge_nodes/responses.rs
@@ -126,7 +126,7 @@
             }
             ServerMessage::Closing => return self.server_closes(now, conn, host),
         }
-        self.close_if_drained(conn, host);
+        self.close_if_drained(now, conn, host);
     }
 
     /// Reports a response and takes its call from the connection; `None` if the call is not open.
--- a/crates/aldercrank-test-cluster/src/edge_nodes/state.rs
+++ b/crates/aldercrank-test-cluster/src/edge_nodes/state.rs
@@ -1,7 +1,7 @@
 //! The state of all edge nodes, and the timers that drive it.
 
 use super::host::{EdgeHost, EdgeTimer};
-use super::policy::{CallerPolicy, RequestClass};
+use super::policy::{CallerPolicy, ConnectionUsage, RequestClass};
 use super::request::{Request, RequestEnd};
 use crate::ids::{ConnNo, EdgeNo, ReplyTo, RequestNo, ServerNo};
 use crate::random::RandomStream;
@@ -12,11 +12,17 @@
 /// How long after its deadline a call stays open, so that the checker sees whether a response comes.
 pub(super) const OVERDUE_CHECK_DELAY: Duration = Duration::from_millis(200);
 
+/// How long an edge node that uses its connections until they close goes on after the announcement: a little less than
+/// the protocol excuses.
+pub(super) const USE_AFTER_CLOSING: Duration = Duration::from_millis(40);
+
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionUse {
     Requests,
     HealthChecks,
+    /// Nothing.
+    Idle,
 }
 
 /// An open call on a connection.
@@ -55,6 +61,15 @@
         }
     }
 
+    /// Whether a call may be sent on it.
+    pub(super) fn takes_calls(&self, now: Duration, usage: ConnectionUsage) -> bool {
+        match (self.closing_since, usage) {
+            (None, _) | (Some(_), ConnectionUsage::UntilEnd) => true,
+            (Some(_), ConnectionUsage::WhileListed) => false,
+            (Some(closing), ConnectionUsage::UntilClosing) => now < closing + USE_AFTER_CLOSING,
+        }
+    }
+
     pub(super) fn next_message_id(&mut self) -> MessageId {
         self.last_message_id += 1;
         MessageId(self.last_message_id)
@@ -150,6 +165,7 @@
             }
             EdgeTimer::Cancel(request) => self.cancel_request(now, request, host),
             EdgeTimer::Retry(request) => self.start_attempt(now, request, host),
+            EdgeTimer::CloseIfDrained(conn) => self.close_if_drained(now, conn, host),
             EdgeTimer::CheckOverdue(reply_to) => self.check_overdue(now, reply_to, host),
             EdgeTimer::RefreshMembership(edge) => self.refresh_membership(now, edge, host),
             EdgeTimer::SendHealthChecks(edge) => self.send_health_checks(now, edge, host),
--- a/crates/aldercrank-test-cluster/src/invariant_checker/checker.rs
+++ b/crates/aldercrank-test-cluster/src/invariant_checker/checker.rs
@@ -14,6 +14,8 @@
 
 /// Added to each time limit, for transmission on sockets.
 const SOCKET_ALLOWANCE: Duration = Duration::from_millis(50);
+/// What is wrong with an attempt that ran though its connection closed as if it had not been read.
+const RAN_UNANSWERED: &str = "it ran, and its closing connection was ended without a response";
 /// Only so many violations are kept; further ones are counted.
 const MAX_KEPT_VIOLATIONS: usize = 50;
 
@@ -23,6 +25,8 @@
     Answered,
     /// No response is owed: it was canceled, or hit by an injected fault.
     Excused,
+    /// Its connection ended by the server before it was read: it must not run, since its caller sends it again.
+    Unread,
 }
 
 struct TrackedAttempt {
@@ -285,12 +289,25 @@
         if self.attempts[index].state != AttemptState::Open {
             return;
         }
-        let attempt = self.attempts[index].attempt.clone();
+        let (attempt, ran) = (self.attempts[index].attempt.clone(), self.attempts[index].ran);
         self.attempts[index].state = AttemptState::Excused;
         self.counts.excused += 1;
-        if end == ConnectionEnd::ByServer && !self.had_fault_since_sent(&attempt, now) {
-            let what = "its connection was ended without a response";
-            self.record_attempt_violation(now, Rule::Lost, &attempt, what);
+        if self.had_fault_since_sent(&attempt, now) {
+            return;
+        }
+        match end {
+            ConnectionEnd::Injected => {}
+            ConnectionEnd::ByServer => {
+                let what = "its connection was ended without a response";
+                self.record_attempt_violation(now, Rule::Lost, &attempt, what);
+            }
+            ConnectionEnd::BeforeRead => {
+                self.counts.unread += 1;
+                self.attempts[index].state = AttemptState::Unread;
+                if ran {
+                    self.record_attempt_violation(now, Rule::Lost, &attempt, RAN_UNANSWERED);
+                }
+            }
         }
     }
 
@@ -329,6 +346,9 @@
         }
         self.counts.runs += 1;
         self.attempts[index].ran = true;
+        if self.attempts[index].state == AttemptState::Unread {
+            self.record_attempt_violation(now, Rule::Lost, &attempt, RAN_UNANSWERED);
+        }
         if let Some(&shutdown) = self.shutdowns.get(&(run.server, run.incarnation)) {
             if attempt.sent_at > shutdown + self.settings.drain_grace + SOCKET_ALLOWANCE {
                 let what = "run though it came after the grace period of a draining server";
--- a/crates/aldercrank-test-cluster/src/invariant_checker/observation.rs
+++ b/crates/aldercrank-test-cluster/src/invariant_checker/observation.rs
@@ -112,6 +112,8 @@
     Injected,
     /// The server.
     ByServer,
+    /// The server, after an announcement that the attempt crossed or followed: it was not read, and does not run.
+    BeforeRead,
 }
 
 /// Attempts of idempotent requests at one server.
--- a/crates/aldercrank-test-cluster/src/invariant_checker/violation.rs
+++ b/crates/aldercrank-test-cluster/src/invariant_checker/violation.rs
@@ -54,6 +54,8 @@
     pub runs: u64,
     /// Attempts without a response that none is owed for: canceled, or hit by an injected fault.
     pub excused: u64,
+    /// Attempts whose connection closed before they were read; excused too.
+    pub unread: u64,
     /// Runs of a request with an idempotency key after one on another server or incarnation, which only its caller
     /// can prevent.
     pub across: u64,
--- a/crates/aldercrank-test-cluster/src/scenario.rs
+++ b/crates/aldercrank-test-cluster/src/scenario.rs
@@ -15,4 +15,4 @@
 pub use model::{
     zone_name, Callers, Fleet, InjectedViolation, RequestClass, Scenario, VersionedConfigSettings,
 };
-pub use timeline::{ConfigCorruption, Fault, Publication, Step, Target};
+pub use timeline::{ConfigCorruption, Fault, ProcessSignal, Publication, SignalSeries, Step, Target};
--- a/crates/aldercrank-test-cluster/src/scenario/defaults.rs
+++ b/crates/aldercrank-test-cluster/src/scenario/defaults.rs
@@ -2,7 +2,7 @@
 
 use super::bounds::Bounds;
 use super::model::{Callers, Fleet, RequestClass, Scenario};
-use crate::edge_nodes::{CallerPolicy, ServerChoice};
+use crate::edge_nodes::{CallerPolicy, ConnectionUsage, ServerChoice};
 use crate::index_stub::IndexSettings;
 use crate::invariant_checker::Effect;
 use aldercrank_service_config::Start;
@@ -77,6 +77,7 @@
             max_connections: 2,
             idle_timeout: Duration::from_secs(10),
             cancel_probability: 0.01,
+            connection_usage: ConnectionUsage::WhileListed,
             retries_keyed_after_failure: false,
         },
         membership_lag: Duration::from_secs(1),
--- a/crates/aldercrank-test-cluster/src/scenario/model.rs
+++ b/crates/aldercrank-test-cluster/src/scenario/model.rs
@@ -118,6 +118,10 @@
     Overrun,
     /// A response is sent twice.
     DoubleAnswer,
+    /// A response on a connection that the server closes is dropped.
+    LoseLastAnswer,
+    /// A server is not sent SIGTERM, and counts as asked to shut down.
+    IgnoreTerm,
 }
 
 /// A scenario.
--- a/crates/aldercrank-test-cluster/src/scenario/read.rs
+++ b/crates/aldercrank-test-cluster/src/scenario/read.rs
@@ -3,7 +3,7 @@
 use super::defaults::default_class;
 use super::error::{ScenarioError, ScenarioErrors};
 use super::model::{InjectedViolation, RequestClass, Scenario, VersionedConfigSettings};
-use crate::edge_nodes::ServerChoice;
+use crate::edge_nodes::{ConnectionUsage, ServerChoice};
 use crate::invariant_checker::Effect;
 use crate::kdl_properties::NodeProperties;
 use aldercrank_service_config::Reader;
@@ -199,7 +199,16 @@
     }
 
     fn read_injected_violation(&mut self, properties: &mut NodeProperties) {
-        let words = ["lose-answer", "double-run", "late-start", "swap-result", "overrun", "double-answer"];
+        let words = [
+            "lose-answer",
+            "double-run",
+            "late-start",
+            "swap-result",
+            "overrun",
+            "double-answer",
+            "lose-last-answer",
+            "ignore-term",
+        ];
         let kinds = [
             InjectedViolation::LoseAnswer,
             InjectedViolation::DoubleRun,
@@ -207,6 +216,8 @@
             InjectedViolation::SwapResult,
             InjectedViolation::Overrun,
             InjectedViolation::DoubleAnswer,
+            InjectedViolation::LoseLastAnswer,
+            InjectedViolation::IgnoreTerm,
         ];
         self.injected_violation = properties.first_word("what is broken", &words).map(|i| kinds[i]);
     }
@@ -273,6 +284,9 @@
         set(&mut policy.idle_timeout, properties.number("idle-ms", 100.0, 600_000.0).map(milliseconds));
         set(&mut policy.cancel_probability, properties.number("leave", 0.0, 1.0));
         set(&mut policy.retries_keyed_after_failure, properties.flag("again"));
+        let usages = [ConnectionUsage::WhileListed, ConnectionUsage::UntilClosing, ConnectionUsage::UntilEnd];
+        let usage = properties.word("use", &["while-listed", "until-closing", "until-end"]);
+        set(&mut policy.connection_usage, usage.map(|i| usages[i]));
     }
 
     fn read_versioned_config(&mut self, properties: &mut NodeProperties) {
--- a/crates/aldercrank-test-cluster/src/scenario/read_step.rs
+++ b/crates/aldercrank-test-cluster/src/scenario/read_step.rs
@@ -2,7 +2,7 @@
 
 use super::model::{zone_name, Scenario};
 use super::read::{milliseconds, seconds};
-use super::timeline::{ConfigCorruption, Fault, Publication, Step, Target};
+use super::timeline::{ConfigCorruption, Fault, ProcessSignal, Publication, SignalSeries, Step, Target};
 use crate::ids::{RemoteEndpoint, ServerNo};
 use crate::index_stub::IndexState;
 use crate::kdl_properties::NodeProperties;
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// The faults, as documents name them.
-const FAULTS: [&str; 31] = [
+const FAULTS: [&str; 33] = [
     "kill",
     "leave",
     "stop",
@@ -43,6 +43,8 @@
     "rules-withdraw",
     "rules-broken",
     "rules-old",
+    "signals",
+    "idle-connections",
 ];
 
 impl Scenario {
@@ -128,6 +130,9 @@
         "rules-withdraw" => Some(Fault::Withdraw),
         "rules-broken" => Some(Fault::StoreCorruptConfig(read_config_corruption(properties))),
         "rules-old" => Some(Fault::StoreGenesis),
+        "signals" => read_signals(properties).map(Fault::Signals),
+        "idle-connections" => required_number(properties, "count", 1.0, 10_000.0)
+            .map(|count| Fault::IdleConnections(count as usize)),
         link_fault => read_link_fault(link_fault, properties),
     }
 }
@@ -145,6 +150,29 @@
     }
 }
 
+/// The signals of a series, as documents name them.
+const SIGNALS: [(&str, ProcessSignal); 6] = [
+    ("hup", ProcessSignal::Reload),
+    ("hup-invalid", ProcessSignal::ReloadInvalid),
+    ("term", ProcessSignal::Terminate),
+    ("stop", ProcessSignal::Pause),
+    ("cont", ProcessSignal::Resume),
+    ("pool-restart", ProcessSignal::PoolRestart),
+];
+
+fn read_signals(properties: &mut NodeProperties) -> Option<SignalSeries> {
+    let gap = milliseconds(properties.number("gap-ms", 0.0, 10_000.0).unwrap_or(0.0));
+    let text = properties.text("send").unwrap_or_default();
+    let named = |word: &str| SIGNALS.iter().find(|(name, _)| *name == word).map(|(_, signal)| *signal);
+    let signals: Option<Vec<ProcessSignal>> = text.split_whitespace().map(named).collect();
+    let series = signals.filter(|signals| !signals.is_empty()).map(|signals| SignalSeries { signals, gap });
+    if series.is_none() {
+        let names = SIGNALS.map(|(name, _)| name).join(", ");
+        properties.fault(format!("needs send= with one or more of {names}"));
+    }
+    series
+}
+
 fn read_membership_fault(word: &str, properties: &mut NodeProperties) -> Option<Fault> {
     match word {
         "list" => {
--- a/crates/aldercrank-test-cluster/src/scenario/timeline.rs
+++ b/crates/aldercrank-test-cluster/src/scenario/timeline.rs
@@ -30,6 +30,67 @@
     pub contradictory: bool,
 }
 
+/// One of a series of signals to a server's process, or what happens between them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessSignal {
+    /// SIGHUP, with a valid configuration to read.
+    Reload,
+    /// SIGHUP, with an invalid configuration to read.
+    ReloadInvalid,
+    /// SIGTERM.
+    Terminate,
+    /// SIGSTOP.
+    Pause,
+    /// SIGCONT.
+    Resume,
+    /// The worker pool's process ends, with all runs, and a cold one starts.
+    PoolRestart,
+}
+
+/// Signals to a server's process, one after the other. SIGKILL follows the first SIGTERM by the stop timeout.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SignalSeries {
+    /// The signals.
+    pub signals: Vec<ProcessSignal>,
+    /// From one signal to the next.
+    pub gap: Duration,
+}
+
+impl SignalSeries {
+    /// When the signal of this index is sent, since the series began.
+    pub fn sent_after(&self, index: usize) -> Duration {
+        self.gap * index as u32
+    }
+
+    fn first(&self, wanted: ProcessSignal) -> Option<Duration> {
+        let first = self.signals.iter().position(|signal| *signal == wanted);
+        first.map(|index| self.sent_after(index))
+    }
+
+    /// When SIGTERM is delivered for the first time, since the series began. A paused process gets it as it resumes.
+    pub fn terminates_after(&self) -> Option<Duration> {
+        let sent = self.first(ProcessSignal::Terminate)?;
+        let paused = self.first(ProcessSignal::Pause).filter(|paused| *paused <= sent);
+        let resumed = self.first(ProcessSignal::Resume).filter(|_| paused.is_some());
+        Some(resumed.map_or(sent, |resumed| resumed.max(sent)))
+    }
+
+    /// How long the process is paused after SIGTERM is delivered.
+    pub fn paused_while_draining(&self) -> Duration {
+        let paused = self.first(ProcessSignal::Pause).zip(self.first(ProcessSignal::Resume));
+        let (Some((paused, resumed)), Some(terminates)) = (paused, self.terminates_after()) else {
+            return Duration::ZERO;
+        };
+        resumed.saturating_sub(paused.max(terminates))
+    }
+
+    /// How long the process is paused.
+    pub fn paused_for(&self) -> Duration {
+        let paused = self.first(ProcessSignal::Pause).zip(self.first(ProcessSignal::Resume));
+        paused.map_or(Duration::ZERO, |(paused, resumed)| resumed.saturating_sub(paused))
+    }
+}
+
 /// The servers that a step affects.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Target {
@@ -52,6 +113,10 @@
     Shutdown,
     /// SIGSTOP, and SIGCONT at the step's end.
     Pause,
+    /// Several signals.
+    Signals(SignalSeries),
+    /// Each edge node opens so many connections that it does not use.
+    IdleConnections(usize),
     /// The server is asked, by SIGHUP, to read an invalid configuration.
     InvalidConfig,
     /// SIGKILL, and a start with an invalid configuration; a start with a valid one at the step's end.
@@ -132,6 +197,8 @@
             _ => matches!(
                 self,
                 Fault::Shutdown
+                    | Fault::Signals(_)
+                    | Fault::IdleConnections(_)
                     | Fault::InvalidConfig
                     | Fault::IndexCachesEmptied
                     | Fault::MembershipForgets
--- a/crates/aldercrank-test-cluster/src/testbed.rs
+++ b/crates/aldercrank-test-cluster/src/testbed.rs
@@ -99,6 +99,12 @@
     CheckLimits,
     /// A server is started.
     StartServer(ServerNo),
+    /// The step of this index sends its signal of this index to an incarnation of a server.
+    SendSignal(usize, ServerNo, Incarnation, usize),
+    /// A request is written on each open connection to an incarnation of a server.
+    RequestBurst(ServerNo, Incarnation),
+    /// An incarnation of a server that was asked to shut down is killed.
+    KillAtStopTimeout(ServerNo, Incarnation),
     /// The step of this index resets a server's link to its worker pool.
     ResetPoolLink(usize, ServerNo),
     /// Long polls of the configuration store time out.
--- a/crates/aldercrank-test-cluster/tests/components/invariant_checker.rs
+++ b/crates/aldercrank-test-cluster/tests/components/invariant_checker.rs
@@ -159,3 +159,25 @@
     checker.scheduling_delay_sampled(ms(2450), ms(100), vec![ms(600)]);
     assert_eq!(violated_rules(&checker), []);
 }
+
+/// A caller sends an attempt again that its closing connection did not read, so a run of it would be a second effect.
+#[test]
+fn an_attempt_that_counts_as_unread_must_not_run_before_or_after_its_connection_ends() {
+    let mut unread = checker();
+    unread.attempt_sent(attempt_at(1, 0, None));
+    unread.connection_lost(ms(20), reply_to(1), ConnectionEnd::BeforeRead);
+    unread.finish(ms(5000));
+    assert_eq!((violated_rules(&unread), unread.counts.unread), (vec![], 1));
+
+    let mut ran_before = checker();
+    ran_before.attempt_sent(attempt_at(1, 0, None));
+    start_run(&mut ran_before, 1, 5, "map-extract");
+    ran_before.connection_lost(ms(20), reply_to(1), ConnectionEnd::BeforeRead);
+    assert_eq!(violated_rules(&ran_before), [Rule::Lost]);
+
+    let mut runs_after = checker();
+    runs_after.attempt_sent(attempt_at(1, 0, None));
+    runs_after.connection_lost(ms(20), reply_to(1), ConnectionEnd::BeforeRead);
+    start_run(&mut runs_after, 1, 25, "map-extract");
+    assert_eq!(violated_rules(&runs_after), [Rule::Lost]);
+}
--- a/crates/aldercrank-test-cluster/tests/golden_scenarios/decoded.rs
+++ b/crates/aldercrank-test-cluster/tests/golden_scenarios/decoded.rs
@@ -166,6 +166,10 @@
         Fault::Kill => "kill".into(),
         Fault::Shutdown => "leave".into(),
         Fault::Pause => "stop".into(),
+        Fault::Signals(series) => {
+            format!("signals send={:?} gap-ms={}", series.signals, millis(series.gap))
+        }
+        Fault::IdleConnections(count) => format!("idle-connections count={count}"),
         Fault::InvalidConfig => "bad-config".into(),
         Fault::InvalidStart => "bad-start".into(),
         Fault::SlowPool(to) => format!("slow to={to}"),
@@ -282,5 +286,7 @@
         InjectedViolation::SwapResult => "swap-result",
         InjectedViolation::Overrun => "overrun",
         InjectedViolation::DoubleAnswer => "double-answer",
+        InjectedViolation::LoseLastAnswer => "lose-last-answer",
+        InjectedViolation::IgnoreTerm => "ignore-term",
     }
 }
--- a/crates/aldercrank-test-cluster/tests/golden_scenarios/faults.rs
+++ b/crates/aldercrank-test-cluster/tests/golden_scenarios/faults.rs
@@ -33,7 +33,7 @@
 ];
 
 /// Malformed steps of the timeline.
-const STEPS: [&str; 34] = [
+const STEPS: [&str; 37] = [
     "at",
     "at \"kill\"",
     "at 1",
@@ -68,6 +68,9 @@
     "at 1 \"list-capacity\"\nat 1 \"list-old\"\nat 1 \"edges-restart\"\nat 1 \"rate\"",
     "at 1 \"rules\"\nat 1 \"rules\" set=\"a.b=1\" for=2",
     "at 1 \"rules-broken\" kind=\"short\"",
+    "at 1 \"signals\"",
+    "at 1 \"signals\" send=\"hup trem\" gap-ms=-1",
+    "at 1 \"idle-connections\" for=2",
 ];
 
 /// Scenarios that can be read and make no sense as a whole.
--- a/crates/aldercrank-testbench/src/command_line.rs
+++ b/crates/aldercrank-testbench/src/command_line.rs
@@ -4,6 +4,7 @@
 use crate::load_generator::Load;
 use crate::scenario_command::ScenarioRun;
 use crate::selection::Selection;
+use crate::shutdown_soak::Soak;
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use std::path::PathBuf;
 
@@ -16,16 +17,18 @@
     Agree,
     Platform,
     Soak,
+    Shutdown,
 }
 
 impl CheckName {
-    const ALL: [(&'static str, CheckName); 6] = [
+    const ALL: [(&'static str, CheckName); 7] = [
         ("cost", CheckName::Cost),
         ("live", CheckName::Live),
         ("coldstart", CheckName::ColdStart),
         ("agree", CheckName::Agree),
         ("platform", CheckName::Platform),
         ("soak", CheckName::Soak),
+        ("shutdown", CheckName::Shutdown),
     ];
 
     /// The check of this name; nothing where there is none.
@@ -82,6 +85,7 @@
     Fleet(ScenarioRun),
     ColdStart(ColdStart),
     Hunt(SearchArguments),
+    Soak(Soak),
     Why {
         directory: PathBuf,
         request: String,
@@ -131,14 +135,29 @@
     let fleet = fleet_command();
     let cold_start = cold_start_command();
     let hunt = hunt_command();
+    let soak = soak_command();
     let why = why_command();
     let counted = counted_command();
     let faulty = faulty_command();
     let hold = hold_command();
     let watch = watch_command();
-    construct!([load, cost, instructions, check, fleet, cold_start, hunt, why, counted, faulty, hold, watch])
-        .to_options()
-        .descr("Plays the aldercrank server from outside, on loopback")
+    construct!([
+        load,
+        cost,
+        instructions,
+        check,
+        fleet,
+        cold_start,
+        hunt,
+        soak,
+        why,
+        counted,
+        faulty,
+        hold,
+        watch
+    ])
+    .to_options()
+    .descr("Plays the aldercrank server from outside, on loopback")
 }
 
 fn load_command() -> impl Parser<Command> {
@@ -192,7 +211,8 @@
     let program = file("program", "the server's program, for live").optional();
     let against =
         file("against", "an earlier build, whose figures are shown beside, for coldstart").optional();
-    let name = positional::<String>("NAME").help("the check: cost, live, coldstart, agree, platform, soak");
+    let name = positional::<String>("NAME")
+        .help("the check: cost, live, coldstart, agree, platform, soak, shutdown");
     let except = long("except").help("leave this scenario out").argument::<String>("SCENARIO").many();
     let only = long("only").help("play this scenario alone").argument::<String>("SCENARIO").optional();
     let selection = construct!(Selection { except, only });
@@ -281,6 +301,22 @@
         .command("hunt")
 }
 
+fn soak_command() -> impl Parser<Command> {
+    let program = server_program();
+    let seed = long("seed").help("the first seed").argument("N").fallback(1u64);
+    let runs = long("runs").help("how many seeds are played").argument("N").fallback(50u64);
+    let side_by_side = long("side-by-side").help("runs at once").argument("N").fallback(4usize);
+    construct!(Soak { program, seed, runs, side_by_side })
+        .map(Command::Soak)
+        .to_options()
+        .descr("Send servers signals in series and kill them at their stop timeout, while callers keep their connections")
+        .footer(
+            "Example: aldercrank-testbench soak --seed 1 --runs 50\n\
+             Exit: 0 no rule broken, 1 one was, 2 it could not be played",
+        )
+        .command("soak")
+}
+
 fn why_command() -> impl Parser<Command> {
     let directory = positional::<PathBuf>("DIR").help("where `fleet --keep` wrote a run's record");
     let request =
--- a/crates/aldercrank-testbench/src/lib.rs
+++ b/crates/aldercrank-testbench/src/lib.rs
@@ -22,6 +22,7 @@
 mod selection;
 mod server_modes;
 mod server_under_test;
+mod shutdown_soak;
 mod soak_check;
 mod stub_services;
 mod syscall_trace;
@@ -64,6 +65,7 @@
         CheckName::Agree => consensus_check::check(selection, *long, program.clone()),
         CheckName::Platform => platform_check::check(program.clone()),
         CheckName::Soak => soak_check::check(),
+        CheckName::Shutdown => shutdown_soak::check(selection, program.clone()),
     }
 }
 
@@ -76,6 +78,7 @@
         Command::Check(arguments) => check(&arguments),
         Command::Fleet(scenario_run) => scenario_command::run(&scenario_run),
         Command::ColdStart(cold_start) => cold_start::run(&cold_start),
+        Command::Soak(soak) => shutdown_soak::run(&soak),
         Command::Hunt(arguments) => scenario_command::search(&arguments),
         Command::Why { directory, request } => request_trace::print_trace(&directory, &request),
         Command::Watch { parent, report, arguments } => platform_check::watch(parent, &report, &arguments),
--- /dev/null
+++ b/crates/aldercrank-testbench/src/shutdown_soak.rs
@@ -0,0 +1,270 @@
+//! `aldercrank-testbench soak`: short runs, each drawn from its seed, in which servers are sent signals in series and
+//! killed exactly at their stop timeout, while callers go on using the connections that they have.
+
+use crate::check_runner::{run_checks, CheckTask};
+use crate::scenario_bounds::missed_bounds;
+use crate::scenario_command;
+use crate::selection::Selection;
+use aldercrank_test_cluster::cluster::{run_dir, RunOptions, TestCluster};
+use aldercrank_test_cluster::invariant_checker::Rule;
+use aldercrank_test_cluster::process::Program;
+use aldercrank_test_cluster::random::RandomStream;
+use aldercrank_test_cluster::run_record::Outcome;
+use aldercrank_test_cluster::scenario::{InjectedViolation, Scenario};
+use std::io;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+/// Servers of each run. Three of them are the committee where there is a versioned configuration.
+const SERVERS: usize = 3;
+/// Seconds from the begin of the callers to the first series of signals, and from one to the next.
+const FIRST_SERIES_S: f64 = 1.5;
+const SERIES_INTERVAL_S: f64 = 3.4;
+/// Series of signals of one run.
+const SERIES: usize = 3;
+/// Series that are drawn. Each has SIGTERM in it.
+const SIGNALS: [&str; 12] = [
+    "term",
+    "hup term",
+    "term hup",
+    "term term",
+    "hup hup-invalid hup term",
+    "hup-invalid term hup",
+    "hup hup hup term term",
+    "term hup-invalid hup",
+    "stop term cont",
+    "stop hup term cont",
+    "term stop cont",
+    "hup term pool-restart",
+];
+/// Milliseconds between the signals of a series.
+const GAPS_MS: [f64; 5] = [0.0, 0.3, 1.0, 20.0, 200.0];
+/// Idle connections that one edge node opens at most: with those in use, all edge nodes stay within half of the
+/// descriptor limit, as the protocol has it.
+const MAX_IDLE_CONNECTIONS: usize = 79;
+/// Seeds of the check in CI.
+const CHECK_SEEDS: std::ops::RangeInclusive<u64> = 1..=12;
+/// Runs of the check at once.
+const CHECK_SIDE_BY_SIDE: usize = 4;
+/// Violations that are printed for one run.
+const PRINTED_VIOLATIONS: usize = 5;
+
+/// The arguments of `soak`.
+#[derive(Clone, Debug)]
+pub(crate) struct Soak {
+    pub(crate) program: Option<PathBuf>,
+    pub(crate) seed: u64,
+    pub(crate) runs: u64,
+    pub(crate) side_by_side: usize,
+}
+
+/// A scenario in two parts, so that a shorter timeline can be looked for.
+struct DrawnScenario {
+    base: String,
+    steps: Vec<String>,
+}
+
+impl DrawnScenario {
+    /// The scenario of a seed: always the same.
+    fn of(seed: u64) -> DrawnScenario {
+        let mut random = RandomStream::of(seed, "shutdown soak");
+        let usage = ["until-closing", "until-end"][random.below(2)];
+        let has_versions = random.chance(0.35);
+        let rate = 60 + random.below(160);
+        let mut base = format!(
+            "name \"soak {seed}\"\nseed {seed}\nseconds 12\n\
+             fleet servers={SERVERS} zones=1 cores=4 stop-ms=2000 grace-ms=600 sockets=512\n\
+             product \"map-extract\" share=0.5 work-ms=15\n\
+             product \"licence-buy\" share=0.3 work-ms=25\n\
+             product \"licence-void\" effect=\"once-only\" share=0.2 work-ms=20\n\
+             callers rate={rate} edges=3 choose=\"round-robin\" heeds=#false checks-ms=0 connections=3 use=\"{usage}\"\n\
+             list capacity=800 lag-ms=300\n"
+        );
+        let mut steps = Vec::new();
+        for number in 0..SERIES {
+            steps.extend(series_steps(&mut random, number, has_versions));
+        }
+        if has_versions {
+            base += "rules committee=3 within-ms=1000 disks=#true\n";
+            // Each stands for longer than a decision, and is published at any moment of a stop.
+            let published = draw_publications(&mut random, &mut steps);
+            base += &format!("bounds acted={}\n", published + 1);
+        }
+        DrawnScenario { base, steps }
+    }
+
+    fn document(&self) -> String {
+        format!("{}{}\n", self.base, self.steps.join("\n"))
+    }
+
+    fn scenario(&self) -> io::Result<Scenario> {
+        Scenario::parse(&self.document()).map_err(|errors| io::Error::other(errors.to_string()))
+    }
+}
+
+fn draw_publications(random: &mut RandomStream, steps: &mut Vec<String>) -> usize {
+    let items = ["licence-buy.points=6", "licence-buy.window-ms=5000", "licence-buy.points=4"];
+    for (number, item) in items.iter().enumerate() {
+        let at = FIRST_SERIES_S - 0.3 + SERIES_INTERVAL_S * number as f64 + 2.0 * random.unit();
+        steps.push(format!("at {at:.3} \"rules\" set=\"{item}\""));
+    }
+    items.len()
+}
+
+/// One series of signals to one server, and what surrounds it.
+fn series_steps(random: &mut RandomStream, number: usize, has_versions: bool) -> Vec<String> {
+    let at = FIRST_SERIES_S + SERIES_INTERVAL_S * number as f64 + 0.3 * random.unit();
+    let server = random.below(SERVERS) + 1;
+    let signals = SIGNALS[random.below(SIGNALS.len())];
+    let gap_ms = GAPS_MS[random.below(GAPS_MS.len())];
+    let mut steps =
+        vec![format!("at {at:.3} \"signals\" server=\"n{server}\" send=\"{signals}\" gap-ms={gap_ms}")];
+    let before = (at - 0.2).max(0.0);
+    match random.below(6) {
+        0 => {
+            let count = 30 + random.below(MAX_IDLE_CONNECTIONS - 30);
+            steps.push(format!("at {before:.3} \"idle-connections\" server=\"n{server}\" count={count}"));
+        }
+        1 => {
+            let times = 3 + random.below(4);
+            steps.push(format!("at {at:.3} \"rate\" times={times} for=0.4"));
+        }
+        // While the service is away no version is read.
+        2 if !has_versions => {
+            let state = ["silent", "down", "closing"][random.below(3)];
+            steps.push(format!("at {before:.3} \"list\" state=\"{state}\" for=2.4"));
+        }
+        3 => {
+            let states = ["state=\"hung\"", "state=\"slow\" by=20", "state=\"dead\"", "state=\"shedding\""];
+            let state = states[random.below(states.len())];
+            steps.push(format!("at {before:.3} \"index\" {state} for=2.2"));
+        }
+        _ => {}
+    }
+    steps
+}
+
+/// What a run came to: its violations and missed bounds, as lines.
+fn failures(scenario: &Scenario, outcome: &Outcome) -> Vec<String> {
+    let violations = outcome.violations.iter().take(PRINTED_VIOLATIONS).map(|violation| {
+        let attempt = violation.attempt.as_deref().unwrap_or_default();
+        let server = violation.server.as_deref().unwrap_or_default();
+        format!("{:?} at {:.3} s {server} {attempt}: {}", violation.rule, violation.at, violation.what)
+    });
+    violations.chain(missed_bounds(scenario, outcome, None)).collect()
+}
+
+/// The outcome of one seed.
+struct RunResult {
+    attempts: u64,
+    unread: u64,
+    passed: bool,
+}
+
+/// Plays one seed. A run that fails is kept, and a shorter timeline is looked for.
+fn play_seed(seed: u64, program: &Program) -> io::Result<RunResult> {
+    let drawn = DrawnScenario::of(seed);
+    let scenario = drawn.scenario()?;
+    let dir = run_dir(&format!("soak-{seed}"));
+    let options = RunOptions { program: program.clone(), dir: dir.clone(), keep: true, verbose: false };
+    let played = TestCluster::play(&scenario, &options);
+    if played.is_err() {
+        let _ = std::fs::remove_dir_all(&dir);
+    }
+    let outcome = played?;
+    let failures = failures(&scenario, &outcome);
+    let counts = outcome.counts;
+    println!(
+        "seed {seed}: {} attempts, {} runs, {} unread, {} starts, {} KB, {} descriptors{}",
+        counts.attempts,
+        counts.runs,
+        counts.unread,
+        outcome.starts,
+        outcome.memory_kb,
+        outcome.descriptors,
+        failures.iter().map(|failure| format!("\n    FAILED {failure}")).collect::<String>()
+    );
+    if failures.is_empty() {
+        std::fs::remove_dir_all(&dir)?;
+    } else {
+        println!("    again: aldercrank-testbench soak --seed {seed} --runs 1");
+        println!("    kept: {} (aldercrank-testbench why DIR REQUEST)", dir.display());
+        let shortest = shortest_failing(drawn, program)?;
+        println!("    shortest timeline that failed again:\n{}", shortest.document());
+    }
+    Ok(RunResult { attempts: counts.attempts, unread: counts.unread, passed: failures.is_empty() })
+}
+
+/// Leaves out each step without which the run fails as well.
+fn shortest_failing(mut drawn: DrawnScenario, program: &Program) -> io::Result<DrawnScenario> {
+    let mut index = 0;
+    while index < drawn.steps.len() && drawn.steps.len() > 1 {
+        let mut steps = drawn.steps.clone();
+        steps.remove(index);
+        let shorter = DrawnScenario { base: drawn.base.clone(), steps };
+        let scenario = shorter.scenario()?;
+        let outcome = scenario_command::play(&scenario, program, false)?;
+        if outcome.counts.violations > 0 {
+            drawn = shorter;
+        } else {
+            index += 1;
+        }
+    }
+    Ok(drawn)
+}
+
+/// Plays the seeds and prints a line for each and a last one with the totals. Gives whether all passed.
+pub(crate) fn run(soak: &Soak) -> io::Result<bool> {
+    if soak.runs == 0 || soak.side_by_side == 0 {
+        return Err(io::Error::other("no seed to play: --runs and --side-by-side begin at 1"));
+    }
+    let program = &scenario_command::program(soak.program.clone())?;
+    let (next, results) = (AtomicU64::new(0), Mutex::new(Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..soak.side_by_side {
+            scope.spawn(|| loop {
+                let number = next.fetch_add(1, Ordering::Relaxed);
+                if number >= soak.runs {
+                    break;
+                }
+                let result = play_seed(soak.seed + number, program);
+                results.lock().unwrap_or_else(PoisonError::into_inner).push(result);
+            });
+        }
+    });
+    let results = results.into_inner().unwrap_or_else(PoisonError::into_inner);
+    let results: Vec<RunResult> = results.into_iter().collect::<io::Result<_>>()?;
+    let attempts: u64 = results.iter().map(|result| result.attempts).sum();
+    let unread: u64 = results.iter().map(|result| result.unread).sum();
+    let passed = results.iter().filter(|result| result.passed).count();
+    println!(
+        "soak: {passed} of {} runs without a failure, {attempts} attempts, {unread} unread",
+        results.len()
+    );
+    Ok(passed == results.len())
+}
+
+/// Injected violations, and the rule that has to be named for each.
+const VIOLATIONS: [(InjectedViolation, Rule); 2] =
+    [(InjectedViolation::LoseLastAnswer, Rule::Lost), (InjectedViolation::IgnoreTerm, Rule::Drain)];
+
+/// Plays some seeds, and runs with an injected violation that the checker must name. Gives whether all passed.
+pub(crate) fn check(selection: &Selection, program: Option<PathBuf>) -> io::Result<bool> {
+    let drawn = CHECK_SEEDS.map(|seed| DrawnScenario::of(seed).scenario().map(CheckTask::Scenario));
+    let mut tasks: Vec<CheckTask> = drawn.collect::<io::Result<_>>()?;
+    for (kind, rule) in VIOLATIONS {
+        let mut scenario = violation_scenario()?;
+        scenario.injected_violation = Some(kind);
+        tasks.push(CheckTask::Violation(kind, rule, scenario));
+    }
+    run_checks("shutdown", selection, tasks, &scenario_command::program(program)?, CHECK_SIDE_BY_SIDE)
+}
+
+/// A server that is asked to shut down, with callers that use their connections to the end.
+fn violation_scenario() -> io::Result<Scenario> {
+    let steps = vec!["at 2 \"signals\" server=\"n1\" send=\"term\"".to_string()];
+    let base = "seconds 6\nfleet servers=2 zones=1 stop-ms=2000 grace-ms=600\n\
+        callers rate=100 edges=3 choose=\"round-robin\" heeds=#false checks-ms=0 use=\"until-end\"\n";
+    DrawnScenario { base: base.to_string(), steps }.scenario()
+}
--- a/crates/aldercrank-testbench/tests/suite/golden_command_line.rs
+++ b/crates/aldercrank-testbench/tests/suite/golden_command_line.rs
@@ -9,7 +9,7 @@
 const UNKNOWN: &str = "--no-such-flag";
 
 /// Each flag with a value, where it takes one.
-const ACCEPTED: [&str; 25] = [
+const ACCEPTED: [&str; 28] = [
     "load",
     "load --program FILE --rate 5 --seconds 1 --connections 2 --cores 3 --work-ms 4 --json",
     "cost",
@@ -30,6 +30,9 @@
     "coldstart --program FILE --against FILE --report FILE --json",
     "hunt",
     "hunt --program FILE --seconds 5 --seed 5 --rules --into DIR",
+    "soak",
+    "soak --program FILE --seed 5 --runs 5 --side-by-side 5",
+    "check shutdown",
     "why DIR TXN",
     "counted CONFIG",
     "counted --service FILE CONFIG",
