--- a/crates/aldercrank-server/tests/suite/version_polling.rs
+++ b/crates/aldercrank-server/tests/suite/version_polling.rs
@@ -23,12 +23,13 @@
 fn a_reload_that_moves_the_membership_service_moves_the_polls_at_once() {
     let directory = std::env::temp_dir().join(format!("aldercrank-version-polling-{}", std::process::id()));
     std::fs::create_dir_all(&directory).unwrap();
-    let (book, service) = (directory.join("rules.kdl"), directory.join("service.kdl"));
+    let (version_file, service_file) = (directory.join("rules.kdl"), directory.join("service.kdl"));
     let version =
         "rules 1 {\n agree-within-ms 500\n committee { n1 \"127.0.0.1:1\"; }\n servers { a \"n1\" }\n}\n";
-    std::fs::write(&book, version).unwrap();
-    std::fs::write(&service, format!("rules {{\n book {book:?}\n read-list #true\n}}\n")).unwrap();
-    let program = Program::start_with_service(&service, |_| None);
+    std::fs::write(&version_file, version).unwrap();
+    std::fs::write(&service_file, format!("rules {{\n book {version_file:?}\n read-list #true\n}}\n"))
+        .unwrap();
+    let program = Program::start_with_service(&service_file, |_| None);
     let mut pool = PoolConnection::accept(&program.pool);
     pool.bind("0", "3.5");
     assert!(next_poll(&program.reports, TIMEOUT).is_some());
