Soak: requests in pieces, and versions published while another member is away

Change: callers' `pieces-ms` writes half of the requests in two pieces; an attempt counts from its last byte, and one whose rest was never written must not run.

--- a/crates/aldercrank-test-cluster/src/edge_nodes/attempts.rs
+++ b/crates/aldercrank-test-cluster/src/edge_nodes/attempts.rs
@@ -12,6 +12,8 @@
 
 /// The pause before a request with an idempotency key is retried, and before one that no server could take.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// The share of requests that are written in two pieces, where any are.
+const SHARE_IN_PIECES: f64 = 0.5;
 /// Retries that are allowed regardless of the retry budget.
 const MIN_RETRIES: f64 = 10.0;
 
@@ -142,6 +144,8 @@
         let class = &self.classes[request.class.0 as usize];
         let connection = self.connections.get_mut(&conn).expect("the connection was just found");
         let server = connection.server;
+        let piece_delay = self.policy.piece_delay.filter(|_| self.random.chance(SHARE_IN_PIECES));
+        let written_at = connection.plan_write(now, piece_delay);
         let reply_to = ReplyTo { conn, message_id: connection.next_message_id() };
         request.attempts += 1;
         (request.reply_to, request.last_sent_at) = (Some(reply_to), now);
@@ -167,7 +171,7 @@
         };
         let mut bytes = Vec::with_capacity(256 + body.len());
         msgpack_rpc::write_request(&mut bytes, reply_to.message_id, &class.name, &fields, &body);
-        connection.open_calls.insert(reply_to.message_id, OpenCall { request: number, sent_at: now });
+        connection.open_calls.insert(reply_to.message_id, OpenCall { request: number, sent_at: written_at });
         let deadline = now + Duration::from_millis(budget_ms);
         let sent = Attempt {
             request: number,
@@ -179,16 +183,44 @@
             class: request.class,
             idempotency_key: request.idempotency_key,
             body_hash: fnv1a_hash(&body),
-            sent_at: now,
+            sent_at: written_at,
             deadline,
         };
         if budget < time_left {
             host.set_edge_timer(deadline, EdgeTimer::AttemptTimeout(number, request.attempts));
         }
-        host.set_edge_timer(deadline + OVERDUE_CHECK_DELAY, EdgeTimer::CheckOverdue(reply_to));
-        self.known_server(sent.edge, server).open_calls += 1;
+        self.register_attempt(sent, host);
+        self.write(now, conn, &bytes, host);
+    }
+
+    fn register_attempt(&mut self, sent: Attempt, host: &mut impl EdgeHost) {
+        let check_at = sent.deadline + OVERDUE_CHECK_DELAY;
+        host.set_edge_timer(check_at, EdgeTimer::CheckOverdue(sent.reply_to));
+        self.known_server(sent.edge, sent.server).open_calls += 1;
         host.attempt_sent(sent);
-        host.send(conn, &bytes);
+    }
+
+    /// Writes what [`Connection::plan_write`] has planned: at once, in two pieces, or behind an unsent piece.
+    fn write(&mut self, now: Duration, conn: ConnNo, bytes: &[u8], host: &mut impl EdgeHost) {
+        let Some(connection) = self.connections.get_mut(&conn) else { return };
+        if !connection.unsent.is_empty() {
+            return connection.unsent.extend_from_slice(bytes);
+        }
+        if connection.unsent_due <= now {
+            return host.send(conn, bytes);
+        }
+        let (first, rest) = bytes.split_at(bytes.len() / 2);
+        connection.unsent = rest.to_vec();
+        host.set_edge_timer(connection.unsent_due, EdgeTimer::SendRest(conn));
+        host.send(conn, first);
+    }
+
+    /// Writes the second piece, and what came behind it.
+    pub(super) fn send_rest(&mut self, conn: ConnNo, host: &mut impl EdgeHost) {
+        if let Some(connection) = self.connections.get_mut(&conn) {
+            let rest = std::mem::take(&mut connection.unsent);
+            host.send(conn, &rest);
+        }
     }
 
     /// Retries a request whose attempt came to nothing, or ends it where policy, budget or safety forbid a retry.
@@ -259,7 +291,7 @@
             let mut bytes = Vec::new();
             msgpack_rpc::write_cancel(&mut bytes, reply_to.message_id);
             host.attempt_canceled(reply_to);
-            host.send(reply_to.conn, &bytes);
+            self.write(now, reply_to.conn, &bytes, host);
         }
     }
 
--- a/crates/aldercrank-test-cluster/src/edge_nodes/connections.rs
+++ b/crates/aldercrank-test-cluster/src/edge_nodes/connections.rs
@@ -95,7 +95,8 @@
             let reply_to = ReplyTo { conn, message_id };
             let crossed_close =
                 connection.closing_since.is_some_and(|closing| call.sent_at + CLOSE_CROSSING >= closing);
-            let was_read = connection.established && !crossed_close;
+            let is_unfinished = call.sent_at > now;
+            let was_read = connection.established && !crossed_close && !is_unfinished;
             let end = match end {
                 ConnectionEnd::ByServer if was_read => ConnectionEnd::ByServer,
                 ConnectionEnd::ByServer if connection.established => ConnectionEnd::BeforeRead,
--- a/crates/aldercrank-test-cluster/src/edge_nodes/host.rs
+++ b/crates/aldercrank-test-cluster/src/edge_nodes/host.rs
@@ -16,6 +16,8 @@
     Cancel(RequestNo),
     /// The request is tried again.
     Retry(RequestNo),
+    /// The second piece is written on a connection.
+    SendRest(ConnNo),
     /// A connection that the server closes is no longer used, and closed once all calls on it are answered.
     CloseIfDrained(ConnNo),
     /// Checks whether a response is still owed there.
--- a/crates/aldercrank-test-cluster/src/edge_nodes/policy.rs
+++ b/crates/aldercrank-test-cluster/src/edge_nodes/policy.rs
@@ -48,6 +48,8 @@
     pub idle_timeout: Duration,
     /// The share of callers that cancel at a random time before their deadline.
     pub cancel_probability: f64,
+    /// Half of what is sent is written in two pieces, so far apart; all in one if `None`.
+    pub piece_delay: Option<Duration>,
     /// How long the connections to a server are used.
     pub connection_usage: ConnectionUsage,
     /// Whether a request with an idempotency key is retried, on the same server, after its connection failed.
--- a/crates/aldercrank-test-cluster/src/edge_nodes/state.rs
+++ b/crates/aldercrank-test-cluster/src/edge_nodes/state.rs
@@ -44,6 +44,10 @@
     pub(super) idle_since: Duration,
     /// Received bytes that are no complete message yet.
     pub(super) input: Vec<u8>,
+    /// What is still to be written, after the first piece of something.
+    pub(super) unsent: Vec<u8>,
+    /// When that is written.
+    pub(super) unsent_due: Duration,
 }
 
 impl Connection {
@@ -58,6 +62,8 @@
             closing_since: None,
             idle_since: now,
             input: Vec::new(),
+            unsent: Vec::new(),
+            unsent_due: now,
         }
     }
 
@@ -70,6 +76,14 @@
         }
     }
 
+    /// When what is written now is written in full: at once, behind an unsent piece, or in two pieces so far apart.
+    pub(super) fn plan_write(&mut self, now: Duration, in_pieces: Option<Duration>) -> Duration {
+        if let (true, Some(delay)) = (self.unsent.is_empty(), in_pieces) {
+            self.unsent_due = now + delay;
+        }
+        self.unsent_due.max(now)
+    }
+
     pub(super) fn next_message_id(&mut self) -> MessageId {
         self.last_message_id += 1;
         MessageId(self.last_message_id)
@@ -165,6 +179,7 @@
             }
             EdgeTimer::Cancel(request) => self.cancel_request(now, request, host),
             EdgeTimer::Retry(request) => self.start_attempt(now, request, host),
+            EdgeTimer::SendRest(conn) => self.send_rest(conn, host),
             EdgeTimer::CloseIfDrained(conn) => self.close_if_drained(now, conn, host),
             EdgeTimer::CheckOverdue(reply_to) => self.check_overdue(now, reply_to, host),
             EdgeTimer::RefreshMembership(edge) => self.refresh_membership(now, edge, host),
--- a/crates/aldercrank-test-cluster/src/scenario/defaults.rs
+++ b/crates/aldercrank-test-cluster/src/scenario/defaults.rs
@@ -77,6 +77,7 @@
             max_connections: 2,
             idle_timeout: Duration::from_secs(10),
             cancel_probability: 0.01,
+            piece_delay: None,
             connection_usage: ConnectionUsage::WhileListed,
             retries_keyed_after_failure: false,
         },
--- a/crates/aldercrank-test-cluster/src/scenario/read.rs
+++ b/crates/aldercrank-test-cluster/src/scenario/read.rs
@@ -284,6 +284,7 @@
         set(&mut policy.idle_timeout, properties.number("idle-ms", 100.0, 600_000.0).map(milliseconds));
         set(&mut policy.cancel_probability, properties.number("leave", 0.0, 1.0));
         set(&mut policy.retries_keyed_after_failure, properties.flag("again"));
+        set_some(&mut policy.piece_delay, properties.number("pieces-ms", 0.1, 1000.0).map(milliseconds));
         let usages = [ConnectionUsage::WhileListed, ConnectionUsage::UntilClosing, ConnectionUsage::UntilEnd];
         let usage = properties.word("use", &["while-listed", "until-closing", "until-end"]);
         set(&mut policy.connection_usage, usage.map(|i| usages[i]));
--- a/crates/aldercrank-testbench/src/shutdown_soak.rs
+++ b/crates/aldercrank-testbench/src/shutdown_soak.rs
@@ -71,6 +71,8 @@
         let mut random = RandomStream::of(seed, "shutdown soak");
         let usage = ["until-closing", "until-end"][random.below(2)];
         let has_versions = random.chance(0.35);
+        let pieces =
+            if random.chance(0.3) { format!(" pieces-ms={}", 1 + random.below(30)) } else { String::new() };
         let rate = 60 + random.below(160);
         let mut base = format!(
             "name \"soak {seed}\"\nseed {seed}\nseconds 12\n\
@@ -78,18 +80,21 @@
              product \"map-extract\" share=0.5 work-ms=15\n\
              product \"licence-buy\" share=0.3 work-ms=25\n\
              product \"licence-void\" effect=\"once-only\" share=0.2 work-ms=20\n\
-             callers rate={rate} edges=3 choose=\"round-robin\" heeds=#false checks-ms=0 connections=3 use=\"{usage}\"\n\
+             callers rate={rate} edges=3 choose=\"round-robin\" heeds=#false checks-ms=0 connections=3 use=\"{usage}\"{pieces}\n\
              list capacity=800 lag-ms=300\n"
         );
         let mut steps = Vec::new();
-        for number in 0..SERIES {
-            steps.extend(series_steps(&mut random, number, has_versions));
+        let servers: [usize; SERIES] = std::array::from_fn(|_| random.below(SERVERS));
+        for (number, server) in servers.into_iter().enumerate() {
+            steps.extend(series_steps(&mut random, number, server, has_versions));
         }
         if has_versions {
             base += "rules committee=3 within-ms=1000 disks=#true\n";
             // Each stands for longer than a decision, and is published at any moment of a stop.
-            let published = draw_publications(&mut random, &mut steps);
-            base += &format!("bounds acted={}\n", published + 1);
+            for (number, server) in servers.into_iter().enumerate() {
+                steps.extend(publication_steps(&mut random, number, server));
+            }
+            base += &format!("bounds acted={}\n", SERIES + 1);
         }
         DrawnScenario { base, steps }
     }
@@ -103,19 +108,25 @@
     }
 }
 
-fn draw_publications(random: &mut RandomStream, steps: &mut Vec<String>) -> usize {
+/// A version that is published while `draining` drains, and at times another member that is away in that moment.
+fn publication_steps(random: &mut RandomStream, number: usize, draining: usize) -> Vec<String> {
     let items = ["licence-buy.points=6", "licence-buy.window-ms=5000", "licence-buy.points=4"];
-    for (number, item) in items.iter().enumerate() {
-        let at = FIRST_SERIES_S - 0.3 + SERIES_INTERVAL_S * number as f64 + 2.0 * random.unit();
-        steps.push(format!("at {at:.3} \"rules\" set=\"{item}\""));
+    let item = items[number % items.len()];
+    let at = FIRST_SERIES_S + SERIES_INTERVAL_S * number as f64 + 0.1 + 1.8 * random.unit();
+    let mut steps = vec![format!("at {at:.3} \"rules\" set=\"{item}\"")];
+    if random.chance(0.3) {
+        let fault = ["kill", "stop"][random.below(2)];
+        let other = (draining + 1 + random.below(SERVERS - 1)) % SERVERS + 1;
+        let at = at + 0.03 * random.unit();
+        steps.push(format!("at {at:.3} \"{fault}\" server=\"n{other}\" for=0.3"));
     }
-    items.len()
+    steps
 }
 
 /// One series of signals to one server, and what surrounds it.
-fn series_steps(random: &mut RandomStream, number: usize, has_versions: bool) -> Vec<String> {
+fn series_steps(random: &mut RandomStream, number: usize, server: usize, has_versions: bool) -> Vec<String> {
     let at = FIRST_SERIES_S + SERIES_INTERVAL_S * number as f64 + 0.3 * random.unit();
-    let server = random.below(SERVERS) + 1;
+    let server = server + 1;
     let signals = SIGNALS[random.below(SIGNALS.len())];
     let gap_ms = GAPS_MS[random.below(GAPS_MS.len())];
     let mut steps =
