Test cluster: one pause, one search for needless steps, one text of a violation

Each is one function now. When a paused process gets SIGTERM follows from the series alone, no longer from the step's time, which left out `each`.

--- a/crates/aldercrank-test-cluster/src/cluster/faults.rs
+++ b/crates/aldercrank-test-cluster/src/cluster/faults.rs
@@ -39,6 +39,16 @@
         self.testbed.record.note(now, None, Some(number), || "asked to shut down".to_string());
     }
 
+    /// Pauses a server's process. What happens to its requests until `until` is the test cluster's doing.
+    pub(super) fn pause(&mut self, now: Duration, number: ServerNo, until: Duration) {
+        self.testbed.checker.add_fault_span(number, now, until);
+        let server = self.server(number);
+        if let Some(process) = &server.process {
+            process.pause();
+            server.paused = true;
+        }
+    }
+
     /// Resumes a server if it is paused.
     pub(super) fn resume_paused(&mut self, now: Duration, number: ServerNo) {
         let server = self.server(number);
@@ -125,14 +135,7 @@
                 self.server(number).restarts = true;
                 self.request_shutdown(now, number);
             }
-            Fault::Pause => {
-                self.testbed.checker.add_fault_span(number, now, until);
-                let server = self.server(number);
-                if let Some(process) = &server.process {
-                    process.pause();
-                    server.paused = true;
-                }
-            }
+            Fault::Pause => self.pause(now, number, until),
             Fault::InvalidConfig => {
                 let file = self.options.dir.join(format!("{number}.json"));
                 std::fs::write(file, "{ not a configuration")?;
--- a/crates/aldercrank-test-cluster/src/cluster/signals.rs
+++ b/crates/aldercrank-test-cluster/src/cluster/signals.rs
@@ -76,16 +76,11 @@
             ProcessSignal::ReloadInvalid => self.reload(number, StartConfig::Invalid)?,
             ProcessSignal::Terminate => {
                 // A paused process gets it as it resumes, and its grace period begins then.
-                let begun = self.testbed.record.begun.unwrap_or_default() + self.scenario.timeline[step].at;
-                let delivered_at = series.terminates_after().map_or(now, |after| now.max(begun + after));
-                self.terminate(delivered_at, number);
-            }
-            ProcessSignal::Pause => {
-                self.testbed.checker.add_fault_span(number, now, now + series.paused_for());
-                let server = self.server(number);
-                server.paused = true;
-                server.process.iter().for_each(|process| process.pause());
+                let delivered_after = series.terminates_after().unwrap_or_default();
+                let delay = delivered_after.saturating_sub(series.sent_after(index));
+                self.terminate(now + delay, number);
             }
+            ProcessSignal::Pause => self.pause(now, number, now + series.paused_for()),
             ProcessSignal::Resume => self.resume_paused(now, number),
             ProcessSignal::PoolRestart => {
                 self.remove_pool(now, number);
--- a/crates/aldercrank-test-cluster/src/fault_search.rs
+++ b/crates/aldercrank-test-cluster/src/fault_search.rs
@@ -168,30 +168,47 @@
     Ok(Found { text, of_calm, violations: outcome.counts.violations, what })
 }
 
+/// Removes each step without which the timeline stays as bad, by `is_as_bad`, and keeps one at least.
+///
+/// # Errors
+/// If `is_as_bad` fails.
+pub fn remove_needless_steps(
+    mut steps: Vec<String>,
+    mut is_as_bad: impl FnMut(&[String]) -> io::Result<bool>,
+) -> io::Result<Vec<String>> {
+    let mut index = 0;
+    while index < steps.len() && steps.len() > 1 {
+        let mut fewer = steps.clone();
+        fewer.remove(index);
+        if is_as_bad(&fewer)? {
+            steps = fewer;
+        } else {
+            index += 1;
+        }
+    }
+    Ok(steps)
+}
+
 /// Removes each step without which the timeline stays nearly as bad.
 fn shrink(
     start: SearchStart,
-    mut steps: Vec<String>,
+    steps: Vec<String>,
     mut found: Found,
     calm: &Outcome,
     play: &mut Player,
 ) -> io::Result<Found> {
-    let mut index = 0;
-    while index < steps.len() && steps.len() > 1 {
-        let mut fewer = steps.clone();
-        fewer.remove(index);
-        let shrunk = play_steps(start, &fewer, calm, play)?;
+    remove_needless_steps(steps, |fewer| {
+        let shrunk = play_steps(start, fewer, calm, play)?;
         let is_as_bad = if found.violations > 0 {
             shrunk.violations > 0
         } else {
             shrunk.of_calm <= found.of_calm + SHRINK_TOLERANCE
         };
         if is_as_bad {
-            (steps, found) = (fewer, shrunk);
-        } else {
-            index += 1;
+            found = shrunk;
         }
-    }
+        Ok(is_as_bad)
+    })?;
     Ok(found)
 }
 
--- a/crates/aldercrank-test-cluster/tests/components/main.rs
+++ b/crates/aldercrank-test-cluster/tests/components/main.rs
@@ -9,6 +9,7 @@
     clippy::too_many_lines
 )]
 
+mod fault_search;
 mod invariant_checker;
 mod process;
 mod relayed_link;
--- a/crates/aldercrank-testbench/src/check_runner.rs
+++ b/crates/aldercrank-testbench/src/check_runner.rs
@@ -14,7 +14,7 @@
 use std::sync::{Mutex, PoisonError};
 
 /// Violations of the rules that are printed for one run.
-const PRINTED_VIOLATIONS: usize = 5;
+pub(crate) const PRINTED_VIOLATIONS: usize = 5;
 
 /// One run of a check, and what it must come to.
 pub(crate) enum CheckTask {
@@ -71,12 +71,7 @@
         figures::of_cluster(&outcome, calm.as_ref())
     };
     for violation in outcome.violations.iter().take(PRINTED_VIOLATIONS) {
-        let attempt = violation.attempt.as_deref().unwrap_or_default();
-        let server = violation.server.as_deref().unwrap_or_default();
-        text += &format!(
-            "\n    BROKEN {:?} at {:.3} s {attempt} {server}: {}",
-            violation.rule, violation.at, violation.what
-        );
+        text += &format!("\n    BROKEN {}", figures::of_violation(violation));
     }
     for bound in &missed {
         text += &format!("\n    MISSED {bound}");
--- a/crates/aldercrank-testbench/src/figures.rs
+++ b/crates/aldercrank-testbench/src/figures.rs
@@ -1,6 +1,6 @@
 //! One line of figures for each kind of run, as the checks print them.
 
-use aldercrank_test_cluster::invariant_checker::Rule;
+use aldercrank_test_cluster::invariant_checker::{Rule, Violation};
 use aldercrank_test_cluster::run_record::Outcome;
 
 /// The value of a run as a share of that of the run without faults, where there is one.
@@ -87,3 +87,10 @@
         o.index_most
     )
 }
+
+/// A violation of a rule: when, on which attempt and server, and what was seen.
+pub(crate) fn of_violation(violation: &Violation) -> String {
+    let attempt = violation.attempt.as_deref().unwrap_or_default();
+    let server = violation.server.as_deref().unwrap_or_default();
+    format!("{:?} at {:.3} s {attempt} {server}: {}", violation.rule, violation.at, violation.what)
+}
--- a/crates/aldercrank-testbench/src/shutdown_soak.rs
+++ b/crates/aldercrank-testbench/src/shutdown_soak.rs
@@ -1,11 +1,13 @@
 //! `aldercrank-testbench soak`: short runs, each drawn from its seed, in which servers are sent signals in series and
 //! killed exactly at their stop timeout, while callers go on using the connections that they have.
 
-use crate::check_runner::{run_checks, CheckTask};
+use crate::check_runner::{run_checks, CheckTask, PRINTED_VIOLATIONS};
+use crate::figures;
 use crate::scenario_bounds::missed_bounds;
 use crate::scenario_command;
 use crate::selection::Selection;
 use aldercrank_test_cluster::cluster::{run_dir, RunOptions, TestCluster};
+use aldercrank_test_cluster::fault_search::remove_needless_steps;
 use aldercrank_test_cluster::invariant_checker::Rule;
 use aldercrank_test_cluster::process::Program;
 use aldercrank_test_cluster::random::RandomStream;
@@ -47,8 +49,6 @@
 const CHECK_SEEDS: std::ops::RangeInclusive<u64> = 1..=12;
 /// Runs of the check at once.
 const CHECK_SIDE_BY_SIDE: usize = 4;
-/// Violations that are printed for one run.
-const PRINTED_VIOLATIONS: usize = 5;
 
 /// The arguments of `soak`.
 #[derive(Clone, Debug)]
@@ -158,11 +158,7 @@
 
 /// What a run came to: its violations and missed bounds, as lines.
 fn failures(scenario: &Scenario, outcome: &Outcome) -> Vec<String> {
-    let violations = outcome.violations.iter().take(PRINTED_VIOLATIONS).map(|violation| {
-        let attempt = violation.attempt.as_deref().unwrap_or_default();
-        let server = violation.server.as_deref().unwrap_or_default();
-        format!("{:?} at {:.3} s {server} {attempt}: {}", violation.rule, violation.at, violation.what)
-    });
+    let violations = outcome.violations.iter().take(PRINTED_VIOLATIONS).map(figures::of_violation);
     violations.chain(missed_bounds(scenario, outcome, None)).collect()
 }
 
@@ -207,22 +203,15 @@
     Ok(RunResult { attempts: counts.attempts, unread: counts.unread, passed: failures.is_empty() })
 }
 
-/// Leaves out each step without which the run fails as well.
-fn shortest_failing(mut drawn: DrawnScenario, program: &Program) -> io::Result<DrawnScenario> {
-    let mut index = 0;
-    while index < drawn.steps.len() && drawn.steps.len() > 1 {
-        let mut steps = drawn.steps.clone();
-        steps.remove(index);
-        let shorter = DrawnScenario { base: drawn.base.clone(), steps };
-        let scenario = shorter.scenario()?;
-        let outcome = scenario_command::play(&scenario, program, false)?;
-        if outcome.counts.violations > 0 {
-            drawn = shorter;
-        } else {
-            index += 1;
-        }
-    }
-    Ok(drawn)
+/// Leaves out each step without which the run violates a rule as well.
+fn shortest_failing(drawn: DrawnScenario, program: &Program) -> io::Result<DrawnScenario> {
+    let DrawnScenario { base, steps } = drawn;
+    let steps = remove_needless_steps(steps, |fewer| {
+        let shorter = DrawnScenario { base: base.clone(), steps: fewer.to_vec() };
+        let outcome = scenario_command::play(&shorter.scenario()?, program, false)?;
+        Ok(outcome.counts.violations > 0)
+    })?;
+    Ok(DrawnScenario { base, steps })
 }
 
 /// Plays the seeds and prints a line for each and a last one with the totals. Gives whether all passed.
