--- a/review/stand_in/case_resting.rs
+++ b/review/stand_in/case_resting.rs
@@ -38,7 +38,7 @@
         CLASSES.iter().map(|(name, _, _)| (name.to_string(), Work { ms: 300, calls: true })).collect();
     let pool = Pool::start("pool of n2", record.clone(), requests.clone(), work).map_err(text)?;
     let to = Addresses { pool: pool.address, members: members_address, index };
-    let server = Server::start("n2", command, &to, &settings("austin", 21744))?;
+    let server = Server::start("n2", command, &to, &settings("austin"))?;
     let ready_by = Instant::now() + Duration::from_secs(20);
     while !members.listed("n2", Instant::now()) {
         if Instant::now() > ready_by {
--- a/review/stand_in/texas.rs
+++ b/review/stand_in/texas.rs
@@ -1,7 +1,7 @@
 //! The settings of texas-markets.
 
-/// The settings of a server in this zone, with this window for repeats of its keyed class.
-pub fn settings(zone: &str, window_ms: u64) -> String {
+/// The settings of a server in this zone.
+pub fn settings(zone: &str) -> String {
     let azs = r#"["dallas","austin","houston"]"#;
     let profile = |name: &str, effect: &str, aim: u64, give_up: u64, points: f64, late: f64, window: u64| {
         format!(
@@ -13,7 +13,7 @@
         profile("catalog-sync", "retryable", 2900, 8700, 1.0, 0.0, 5000),
         profile("item-lookup", "retryable", 720, 2200, 2.0, 0.2, 5000),
         profile("stock-upload", "retryable", 2900, 8700, 2.0, 0.0, 5000),
-        profile("sale-record", "dedup", 2200, 7200, 5.0, 0.0, window_ms),
+        profile("sale-record", "dedup", 2200, 7200, 5.0, 0.0, 21744),
     ];
     format!(
         "{{\"azs\":{azs},\"my_zone\":\"{zone}\",\"peers_total\":3,\"position\":0,\"tick\":5000,\"family\":\"server\",\
