Keyed repeats that are delayed beyond their window neither run nor are rejected

Cause: core and admission module kept a deduplication entry for one longest window of any class after its own window. How late an attempt can arrive has nothing to do with windows: its caller waits up to the longest deadline. Trace, in s: 5.021 first attempt, 5.398 its run ends, 5.521 retry sent, 11.222 partition ends, 11.230 the retry runs; the entry was removable at 11.10.

Fix: the entry of a keyed request stays for the longest deadline after its window, in both. A keyed attempt that is older fails, since nothing can tell whether its request has run. Entries of reads stay as long as before.

--- a/crates/aldercrank-server/src/core/host.rs
+++ b/crates/aldercrank-server/src/core/host.rs
@@ -55,10 +55,10 @@
     }
 
     fn remember(&mut self, id: RequestId, retention: Duration) {
-        let (expires_at, longest_window) = (self.now + retention, self.longest_window);
+        let expires_at = self.now + retention;
         let Some(dedup_key) = self.request(id).and_then(|request| request.dedup_key) else { return };
         if let Some(stored) = self.dedup.store(&dedup_key, id, expires_at) {
-            let removable_at = self.dedup.removable_at(stored.entry, longest_window);
+            let removable_at = self.entry_removable_at(stored.entry);
             let after = removable_at.map_or(retention, |at| at.saturating_sub(self.now));
             self.ports.set_timer(TimerId::DedupExpiry(stored.entry), after);
             stored.replaced.into_iter().for_each(|replaced| self.release_slot(replaced));
--- a/crates/aldercrank-server/src/core/receive.rs
+++ b/crates/aldercrank-server/src/core/receive.rs
@@ -31,6 +31,16 @@
             );
             return None;
         }
+        // Whether an earlier attempt ran can't be told: its deduplication entry may have been removed.
+        let age = received.arrival.unread_time;
+        if self.classes[class].effect == Effect::Keyed && age >= self.longest_deadline {
+            tracing::warn!(
+                attempt = %received.attempt,
+                class = received.arrival.class,
+                "request failed: it was sent longer ago than any caller waits"
+            );
+            return None;
+        }
         Some(class)
     }
 }
--- a/crates/aldercrank-server/src/core/state.rs
+++ b/crates/aldercrank-server/src/core/state.rs
@@ -4,7 +4,7 @@
 use super::lease::Lease;
 use super::ports::{Ports, ReplyTo, TimerId};
 use super::request::{CallResult, Delivery, Request, Stage};
-use crate::dedup::DedupTable;
+use crate::dedup::{DedupKey, DedupTable, EntryId};
 use crate::slots::{Slot, Slots};
 use crate::worker_pool::AttemptId;
 use aldercrank::range_summary_map::RangeSummaryMap;
@@ -48,7 +48,7 @@
     pub(super) classes: Vec<ClassInfo>,
     /// The longest deduplication window of any class so far.
     pub(super) longest_window: Duration,
-    /// The longest deadline of any class.
+    /// The longest deadline that any class has had so far.
     pub(super) longest_deadline: Duration,
     /// The admission module's timer interval.
     pub(super) tick: Duration,
@@ -97,7 +97,7 @@
             now,
             classes: Vec::new(),
             longest_window: Duration::ZERO,
-            longest_deadline: Duration::MAX,
+            longest_deadline: Duration::ZERO,
             tick: Duration::ZERO,
             requests: Slots::default(),
             in_flight: DeterministicMap::default(),
@@ -120,15 +120,24 @@
     pub(super) fn load_settings(&mut self, settings: &Settings) {
         let classes = parameters::request_classes(settings);
         let longest = classes.iter().map(|class| class.dedup_window).max().unwrap_or_default();
-        // Existing entries may have been added under a longer window.
+        // Existing entries may have been added under a longer window, and requests sent under a longer deadline.
         self.longest_window = self.longest_window.max(longest);
-        let deadline_key = |i: usize| format!("profiles.{i}.give_up");
-        let longest_deadline = (0..classes.len()).filter_map(|i| settings.duration(&deadline_key(i))).max();
-        self.longest_deadline = longest_deadline.unwrap_or(Duration::MAX);
+        let longest_deadline = parameters::longest_deadline(&classes).unwrap_or_default();
+        self.longest_deadline = self.longest_deadline.max(longest_deadline);
         let infos = classes.into_iter().map(|class| ClassInfo { name: class.name, effect: class.effect });
         self.classes = infos.collect();
     }
 
+    /// Returns when an expired entry may be removed. Until then, a repeat may be read that was sent before the expiry:
+    /// one of a keyed request until its caller gives up, however short the window is.
+    pub(super) fn entry_removable_at(&self, entry: EntryId) -> Option<Duration> {
+        let margin = match self.dedup.key(entry)? {
+            DedupKey::Token(_) => self.longest_deadline,
+            DedupKey::Subject(_) => self.longest_window,
+        };
+        self.dedup.removable_at(entry, margin)
+    }
+
     /// Whether upstream calls may be made: under a quota, only while it is positive and the lease is full.
     pub(super) fn may_call(&self) -> bool {
         self.upstream_quota.is_none_or(|quota| quota > 0.0 && self.lease.is_full())
--- a/crates/aldercrank-server/src/core/timers.rs
+++ b/crates/aldercrank-server/src/core/timers.rs
@@ -24,13 +24,10 @@
                 state.poll_load_metrics();
             }
             TimerId::LoadMetrics => {}
-            TimerId::DedupExpiry(entry) => {
-                let longest_window = state.longest_window;
-                match state.dedup.removable_at(entry, longest_window).filter(|at| *at > now) {
-                    Some(at) => state.ports.set_timer(timer, at - now),
-                    None => state.dedup.expire(entry).into_iter().for_each(|id| state.release_slot(id)),
-                }
-            }
+            TimerId::DedupExpiry(entry) => match state.entry_removable_at(entry).filter(|at| *at > now) {
+                Some(at) => state.ports.set_timer(timer, at - now),
+                None => state.dedup.expire(entry).into_iter().for_each(|id| state.release_slot(id)),
+            },
             TimerId::ResendStart(id) => {
                 // The edge node has read the response by now. If the run never started, it does not start now, and the
                 // pool reports that it never started.
--- a/crates/aldercrank-server/src/dedup.rs
+++ b/crates/aldercrank-server/src/dedup.rs
@@ -243,6 +243,11 @@
         }
     }
 
+    /// Returns the key of an entry.
+    pub fn key(&self, id: EntryId) -> Option<DedupKey> {
+        self.entries.get(Slot(id.0)).map(|entry| entry.key)
+    }
+
     /// Returns when the entry may be removed: `margin` after its expiry, so that late repeats are still recognised.
     pub fn removable_at(&self, id: EntryId, margin: Duration) -> Option<Duration> {
         self.entries.get(Slot(id.0)).map(|entry| entry.expires_at + margin)
--- a/crates/aldercrank-server/src/net/socket_settings.rs
+++ b/crates/aldercrank-server/src/net/socket_settings.rs
@@ -1,7 +1,7 @@
 //! The platform's settings that this module uses itself, apart from the core.
 
 use super::MAX_SLEEP;
-use aldercrank::Settings;
+use aldercrank::{parameters, Settings};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,8 +30,8 @@
     /// Extracts them from the platform's settings.
     pub(super) fn new(settings: &Settings) -> SocketSettings {
         let answer_slack = settings.duration("rules.answer_slack").unwrap_or(MAX_SLEEP);
-        let classes = aldercrank::parameters::request_classes(settings);
-        let longest_deadline = classes.iter().map(|class| class.deadline).max().unwrap_or(MAX_SLEEP);
+        let classes = parameters::request_classes(settings);
+        let longest_deadline = parameters::longest_deadline(&classes).unwrap_or(MAX_SLEEP);
         let uses_class_deadlines = settings.flag("family_info.passes_deadline") == Some(false);
         let class_deadlines = classes
             .into_iter()
--- a/crates/aldercrank-server/tests/suite/core/generated_events.rs
+++ b/crates/aldercrank-server/tests/suite/core/generated_events.rs
@@ -5,6 +5,7 @@
 use super::world::{RunState, WINDOW};
 use aldercrank::Outcome;
 use quickcheck::{Gen, QuickCheck, TestResult};
+use std::time::Duration;
 
 /// A generated event: the action, the selector of the request or run concerned, and an amount such as a duration.
 type Step = (u8, u8, u16);
@@ -14,7 +15,11 @@
     match action % 18 {
         0..=4 => {
             let token = (selector % 2 == 0).then_some(selector / 2 % 6);
-            scenario.receive(token, MS * u32::from(amount % 3500), MS * u32::from(amount % 5) * 30);
+            let unread_time = MS * u32::from(amount % 5) * 30;
+            // A quarter of the requests are delayed on their way, by up to the longest deadline.
+            let delay = if selector < 64 { MS * u32::from(amount % 3000) } else { Duration::ZERO };
+            let time_left = MS * u32::from(amount % 3500);
+            scenario.receive_delayed(token, time_left, unread_time + delay, unread_time);
         }
         5 | 6 => scenario.exchange(),
         7 => scenario.receive_notices(usize::from(selector % 3)),
--- a/crates/aldercrank-server/tests/suite/core/requests.rs
+++ b/crates/aldercrank-server/tests/suite/core/requests.rs
@@ -29,6 +29,37 @@
     assert_eq!(scenario.starts_of(1), 2);
 }
 
+/// A repeat that was sent within the window may be read long after it, when a partition has delayed it.
+#[test]
+fn a_keyed_repeat_that_was_delayed_beyond_its_window_neither_runs_nor_is_rejected() {
+    let (window, deadline) = (MS * 1000, MS * 9000);
+    let mut settings = settings();
+    settings.set("profiles.1.give_up", Value::Number(deadline.as_micros() as f64));
+    settings.set("profiles.0.window", Value::Number(window.as_micros() as f64));
+    // Up to its caller's deadline, and then after it; delayed on the way, or unread in this server.
+    for age in [500, 1500, 5700, 8900, 9000, 9500, 20_000].map(|age| MS * age) {
+        for max_unread_time in [MS * 2, age] {
+            let mut scenario = Scenario::with_window(&settings, window);
+            let first = scenario.receive(Some(1), deadline, MS);
+            scenario.exchange();
+            let attempt = scenario.attempt(first);
+            scenario.world_mut().end_run(attempt, Outcome::Completed);
+            scenario.exchange();
+            scenario.advance(age + window / 2);
+            let time_left = deadline.saturating_sub(age);
+            // If others with the same age are read before it, it does not look late, and would be admitted.
+            (2..5).for_each(|token| {
+                scenario.receive_delayed(Some(token), time_left, age, max_unread_time);
+            });
+            let repeat = scenario.receive_delayed(Some(1), time_left, age, max_unread_time);
+            scenario.exchange();
+            scenario.advance(MS * 100);
+            assert_eq!((scenario.responses(repeat), scenario.starts_of(1)), (1, 1), "{age:?}");
+            assert_eq!(scenario.world().violations, Vec::<String>::new(), "{age:?} {max_unread_time:?}");
+        }
+    }
+}
+
 #[test]
 fn an_invalid_request_fails_and_nothing_runs() {
     let mut scenario = Scenario::new();
--- a/crates/aldercrank-server/tests/suite/core/scenario.rs
+++ b/crates/aldercrank-server/tests/suite/core/scenario.rs
@@ -1,7 +1,7 @@
 //! A core with fake ports, driven event by event.
 
 use super::world::{Command, FakePorts, Notice, RequestRecord, RunState, World, WINDOW};
-use aldercrank::{CallerId, IncomingRequest, Outcome, Settings};
+use aldercrank::{CallerId, IncomingRequest, Outcome, Settings, Value};
 use aldercrank_server::core::{ConnId, Core, MessageId, ReceivedRequest, ReplyTo};
 use aldercrank_server::dedup::DedupKey;
 use aldercrank_server::payload::Payload;
@@ -32,8 +32,16 @@
 
 impl Scenario {
     pub fn new() -> Scenario {
+        Scenario::with_window(&settings(), WINDOW)
+    }
+
+    /// A scenario with these settings, in which class `p1` has this deduplication window.
+    pub fn with_window(settings: &Settings, window: Duration) -> Scenario {
+        let mut settings = settings.clone();
+        settings.set("profiles.1.window", Value::Number(window.as_micros() as f64));
         let ports = FakePorts::default();
-        let core = Core::new(&settings(), Duration::ZERO, 4000, ports.clone());
+        ports.0.borrow_mut().window = window;
+        let core = Core::new(&settings, Duration::ZERO, 4000, ports.clone());
         let mut scenario = Scenario { core, ports, requests_made: 0 };
         scenario.restore_link();
         scenario.exchange();
@@ -59,9 +67,21 @@
 
     /// Has the core receive a request with `time_left` until its deadline.
     pub fn receive(&mut self, token: Option<u8>, time_left: Duration, unread_time: Duration) -> ReplyTo {
+        self.receive_delayed(token, time_left, unread_time, unread_time)
+    }
+
+    /// Has the core receive a request that was sent `age` ago, and of that time has waited unread in this server for at
+    /// most `max_unread_time`.
+    pub fn receive_delayed(
+        &mut self,
+        token: Option<u8>,
+        time_left: Duration,
+        age: Duration,
+        max_unread_time: Duration,
+    ) -> ReplyTo {
         self.requests_made += 1;
         let (now, call) = (self.now(), self.requests_made);
-        let (arrived, deadline) = (now.saturating_sub(unread_time), now + time_left);
+        let (arrived, deadline) = (now.saturating_sub(age), now + time_left);
         let attempt = AttemptId::new(&format!("{call:016x}")).unwrap();
         let reply_to = ReplyTo { conn: ConnId(call % 3), call: MessageId(call) };
         let body = vec![call as u8; 3];
@@ -89,7 +109,7 @@
         self.core.request_received(
             now,
             reply_to,
-            ReceivedRequest { attempt, dedup_key, arrival, max_unread_time: unread_time, body: &body },
+            ReceivedRequest { attempt, dedup_key, arrival, max_unread_time, body: &body },
         );
         reply_to
     }
--- a/crates/aldercrank-server/tests/suite/core/world.rs
+++ b/crates/aldercrank-server/tests/suite/core/world.rs
@@ -66,6 +66,8 @@
     pub violations: Vec<String>,
     pub load_hint: Option<f64>,
     pub healthy: bool,
+    /// The deduplication window of class `p1`.
+    pub window: Duration,
 }
 
 impl World {
@@ -124,11 +126,7 @@
 
     pub fn begin_run(&mut self, attempt: AttemptId, record: &RequestRecord) {
         if let Some(token) = record.token {
-            if self
-                .run_starts
-                .iter()
-                .any(|(t, at)| *t == token && record.arrived.saturating_sub(*at) <= WINDOW)
-            {
+            if self.has_run(token, record.arrived) {
                 self.violations.push(format!("token {token} ran twice"));
             }
             self.run_starts.push((token, record.arrived));
@@ -136,16 +134,27 @@
         self.runs.insert(attempt, RunState::Running);
     }
 
+    /// Whether a run with this token has started that has a request sent at this time in its window.
+    fn has_run(&self, token: u8, sent_at: Duration) -> bool {
+        let in_window = |run_sent_at: Duration| sent_at.saturating_sub(run_sent_at) <= self.window;
+        self.run_starts.iter().any(|(other, run_sent_at)| *other == token && in_window(*run_sent_at))
+    }
+
     pub fn answer(&mut self, reply_to: ReplyTo, rejected: bool) {
         let Some(record) = self.requests.get_mut(&reply_to) else { return };
         record.responses += 1;
-        let (twice, attempt) = (record.responses > 1, record.attempt);
-        if twice {
+        let record = record.clone();
+        let attempt = record.attempt;
+        if record.responses > 1 {
             self.violations.push(format!("{attempt} answered twice"));
         }
         if rejected && self.runs.contains_key(&attempt) {
             self.violations.push(format!("{attempt} rejected after it ran"));
         }
+        let repeats_a_run = record.token.is_some_and(|token| self.has_run(token, record.arrived));
+        if rejected && repeats_a_run {
+            self.violations.push(format!("{attempt} rejected although another attempt of its request ran"));
+        }
     }
 }
 
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -47,6 +47,8 @@
     pub host: H,
     parameters: Parameters,
     classes: Vec<RequestClass>,
+    /// The longest deadline that any class has had so far. Callers give up requests that are older.
+    longest_deadline: Duration,
     requests: RequestMap<Request>,
     totals: RequestTotals,
     queue: Queue,
@@ -109,6 +111,7 @@
             classes.iter().map(|class| class.latency_target.as_secs_f64() * INITIAL_RUN_TIME).collect();
         Admission {
             host,
+            longest_deadline: parameters::longest_deadline(&classes).unwrap_or_default(),
             requests: RequestMap::default(),
             totals: RequestTotals::new(classes.len()),
             queue: Queue::default(),
--- a/src/admission/lifecycle.rs
+++ b/src/admission/lifecycle.rs
@@ -21,6 +21,8 @@
                 "new settings rejected, the old ones stay in force: request classes differ".to_string()
             });
         }
+        let longest_deadline = parameters::longest_deadline(&classes).unwrap_or_default();
+        self.longest_deadline = self.longest_deadline.max(longest_deadline);
         let extended = self.dedup.extend_windows(&self.classes, &classes);
         (self.parameters, self.classes) = (Parameters::from_settings(settings), classes);
         self.call_window = self.call_window.min(self.parameters.call_quota * MAX_CALL_WINDOW_SHARE);
--- a/src/admission/requests.rs
+++ b/src/admission/requests.rs
@@ -38,9 +38,11 @@
         let original = self.find_original(incoming, arrival.class.effect);
         self.insert_request(&arrival, incoming.memory_kb.max(0.0));
         if arrival.deadline <= now + self.parameters.tick {
-            return match original {
-                Some(_) => self.fail(id),
-                None => self.reject(now, id),
+            // The original of a keyed repeat may have run although its entry has been removed.
+            let keyed_repeat = arrival.class.effect == Effect::Keyed && incoming.repeats.is_some();
+            return match original.is_some() || keyed_repeat {
+                true => self.fail(id),
+                false => self.reject(now, id),
             };
         }
         match original {
--- a/src/admission/timers.rs
+++ b/src/admission/timers.rs
@@ -5,6 +5,7 @@
 use super::Admission;
 use crate::host::Host;
 use crate::request::{Stage, Timer, TimerKind};
+use crate::types::Effect;
 use std::time::Duration;
 
 impl<H: Host> Admission<H> {
@@ -79,7 +80,13 @@
 
     fn dedup_entry_ended(&mut self, now: Duration, timer: Timer) {
         let longest_window = self.classes.iter().map(|class| class.dedup_window).max().unwrap_or_default();
-        if let Some(ends_at) = self.dedup.expire(timer.request_id, now, longest_window) {
+        // A repeat of a keyed request that was sent within the window may be read until its caller gives up, however
+        // short the window is.
+        let inactive_span = |class: usize| match self.classes[class].effect {
+            Effect::Keyed => self.longest_deadline,
+            Effect::Idempotent | Effect::Unsafe => longest_window,
+        };
+        if let Some(ends_at) = self.dedup.expire(timer.request_id, now, inactive_span) {
             self.timers.insert(Timer::dedup_entry(timer.request_id, ends_at), ());
         }
     }
--- a/src/dedup.rs
+++ b/src/dedup.rs
@@ -97,21 +97,21 @@
         entry.is_some()
     }
 
-    /// Handles the timer of an entry. An active entry becomes inactive and is kept for another `inactive_span`, because
-    /// a repeat may be read long after it arrived; its new end is returned. An inactive entry is removed. A timer that
-    /// fires before the end of the entry, which may have been extended, has no effect.
+    /// Handles the timer of an entry. An active entry becomes inactive and is kept for another `inactive_span`, which
+    /// depends on its class, because a repeat may be read long after it arrived; its new end is returned. An inactive
+    /// entry is removed. A timer that fires before the end of the entry, which may have been extended, has no effect.
     pub(crate) fn expire(
         &mut self,
         id: RequestId,
         now: Duration,
-        inactive_span: Duration,
+        inactive_span: impl FnOnce(usize) -> Duration,
     ) -> Option<Duration> {
         let entry = self.entries.get_mut(&id).filter(|entry| entry.ends_at <= now)?;
         if !std::mem::take(&mut entry.active) {
             self.entries.remove(&id);
             return None;
         }
-        entry.ends_at = now + inactive_span;
+        entry.ends_at = now + inactive_span(entry.class);
         self.active_count -= 1;
         Some(entry.ends_at)
     }
--- a/src/parameters.rs
+++ b/src/parameters.rs
@@ -148,6 +148,12 @@
         .collect()
 }
 
+/// The longest deadline of any of these classes: how long a caller waits at most after it has sent a request. `None`
+/// without classes.
+pub fn longest_deadline(classes: &[RequestClass]) -> Option<Duration> {
+    classes.iter().map(|class| class.deadline).max()
+}
+
 fn request_class(settings: &Settings, index: usize, name: &str, in_service: bool) -> RequestClass {
     let key = |field: &str| format!("profiles.{index}.{field}");
     let deadline = settings.duration(&key("give_up")).unwrap_or(Duration::from_secs(5));
