A closing connection with a silent peer stays open while a request may be under way

Cause: `close_timed_out` took a peer that had not reacted to `closing` within CLOSE_TIMEOUT (1 s) to have nothing under way. Behind a partition neither `closing` nor the requests have arrived. Trace, in s: 27.04 partition begins, 28.04 requests sent, 33.04 it ends, 33.05 all four connections end without an answer.

Fix: a closing connection accepts requests until it has had no open call for family_info.idle and the longest deadline together: by then its peer has closed it, or what it sent has run out of time, however long the partition is. At the limit of connections, those asked to close over 1 s ago still go before open ones. In a drain each wait is a third of what is left, also for those asked before.

--- a/crates/aldercrank-server/src/net/config_reload.rs
+++ b/crates/aldercrank-server/src/net/config_reload.rs
@@ -77,6 +77,7 @@
         tracing::info!(changed, "settings changed; in use from now on");
         self.config.settings = settings;
         self.socket_settings = SocketSettings::new(&self.config.settings);
+        self.socket_settings.apply_to(&mut self.net().edge);
         let mut settings = self.config.settings.clone();
         if self.platform_settings_changed(&settings) {
             return;
--- a/crates/aldercrank-server/src/net/edge_connections.rs
+++ b/crates/aldercrank-server/src/net/edge_connections.rs
@@ -3,14 +3,11 @@
 //!
 //! The number of connections is limited. Near the limit, connections without open calls are closed to make room for new
 //! ones.
-//!
-//! A connection passes through three states, in this order: open, closing (the peer was asked to send no new requests)
-//! and lingering (no more requests are accepted; answers are written, the write side is shut down, and input is read
-//! and discarded until the peer closes or a timeout expires). Closing a socket that has unread input would reset the
-//! connection, which discards answers that the kernel has not delivered yet.
 
+use super::close_timeouts::{CloseTimeouts, REACTION_TIMEOUT};
 use super::connection::{Connection, EventLoopHandle};
-use super::idle_list::{IdleLink, IdleList};
+use super::edge_connection::{ConnectionState, EdgeConnection, MESSAGE_TIMEOUT};
+use super::idle_list::{IdleLink, IdleLists};
 use super::TimerEvent;
 use crate::core::{ConnId, MessageId, ReplyTo};
 use crate::deadlines::Deadlines;
@@ -20,110 +17,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// How long the peer has to close after it was asked to, and again after the write side was shut down.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// For this long a new connection doesn't count as idle, since a peer that connects usually sends something soon.
 const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(100);
 /// One in this many connections is reserved for lingering ones. When the others are in use, the longest idle one is
 /// closed in order; lingering ones are dropped before their timeout only at the limit itself.
 const LINGERING_RESERVE_DIVISOR: usize = 16;
-/// How long a connection may go without a complete message after it was made, or after a message's first byte. Edge
-/// nodes connect when they have something to send, and messages are small.
-pub(super) const MESSAGE_TIMEOUT: Duration = Duration::from_millis(1500);
-
-/// State of a connection, see the module's documentation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ConnectionState {
-    /// Requests are accepted.
-    Open,
-    /// The peer was asked to send no new requests.
-    Closing,
-    /// No request is accepted; the connection closes once all output is written and the peer has closed.
-    Lingering,
-}
-
-/// A connection from an edge node.
-pub(super) struct EdgeConnection {
-    pub(super) connection: Connection,
-    /// Open calls, few enough for a linear search.
-    pub(super) open_calls: Vec<MessageId>,
-    /// The configuration versions by which open calls were decided; empty without a versioned configuration.
-    decided_by: Vec<(MessageId, u64)>,
-    pub(super) state: ConnectionState,
-    /// It is in the queue of connections to be read.
-    pub(super) read_queued: bool,
-    /// The peer has closed its write side; the connection is read until a read reports that.
-    pub(super) peer_closed: bool,
-    /// It has input that was not read because too much output was unsent.
-    pub(super) read_skipped: bool,
-    /// It is in the queue of connections to be flushed, since output was added in this turn.
-    flush_queued: bool,
-    /// Its neighbours in the list of idle connections, while no call is open.
-    idle_link: Option<IdleLink>,
-    /// When its last call was answered.
-    idle_since: Duration,
-    /// Whether a complete message has ever been received.
-    has_sent_message: bool,
-    /// By when a complete message has to be received, if one is expected.
-    pub(super) message_due: Option<Duration>,
-    /// When it was last known to have no unread input.
-    pub(super) input_empty_at: Duration,
-    /// Bytes that had been written when progress was last checked.
-    checked_written_bytes: u64,
-    /// The write side is shut down, which happens once all output is written.
-    write_shut_down: bool,
-    /// While lingering: all output is written, and the final wait for the peer to close has started.
-    final_wait_started: bool,
-}
-
-impl EdgeConnection {
-    /// A connection that was accepted now, and whose input has been read up to `input_empty_at`.
-    pub(super) fn new(connection: Connection, now: Duration, input_empty_at: Duration) -> EdgeConnection {
-        EdgeConnection {
-            connection,
-            open_calls: Vec::new(),
-            decided_by: Vec::new(),
-            state: ConnectionState::Open,
-            read_queued: false,
-            peer_closed: false,
-            read_skipped: false,
-            flush_queued: false,
-            idle_link: None,
-            idle_since: now,
-            has_sent_message: false,
-            message_due: Some(now + MESSAGE_TIMEOUT),
-            input_empty_at,
-            checked_written_bytes: 0,
-            write_shut_down: false,
-            final_wait_started: false,
-        }
-    }
-
-    /// Whether the connection is lingering and accepts no more requests.
-    pub(super) fn is_lingering(&self) -> bool {
-        self.state == ConnectionState::Lingering
-    }
-
-    /// Writes as much as the socket accepts. Once a lingering connection has written its last byte, its write side is
-    /// shut down.
-    pub(super) fn flush(&mut self) {
-        self.connection.flush();
-        if self.is_lingering() && !self.write_shut_down && self.connection.unsent_bytes() == 0 {
-            self.connection.shut_down_writing();
-            self.write_shut_down = true;
-        }
-    }
-
-    /// Whether anything has been written since the last check. If so, its idle time starts anew.
-    fn made_progress(&mut self, now: Duration) -> bool {
-        let written = self.connection.written_bytes();
-        let progressed = std::mem::replace(&mut self.checked_written_bytes, written) != written;
-        if progressed {
-            self.idle_since = now;
-        }
-        progressed
-    }
-}
 
 /// A connection without open calls. Ordered by when the connections became idle.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -136,16 +34,14 @@
 #[derive(Default)]
 pub(super) struct EdgeConnections {
     connections: Slots<EdgeConnection>,
-    /// Connections without an open call that have never sent a complete message.
-    idle_without_message: IdleList,
-    /// Connections without an open call that have sent one.
-    idle_with_message: IdleList,
+    /// Connections without an open call.
+    idle: IdleLists,
     max_connections: usize,
     /// Lingering connections, in the order in which they began to linger.
     lingering: VecDeque<ConnId>,
     idle_timeout: Option<Duration>,
-    /// How long the peer has to close; shorter where this server has less time left.
-    close_timeout: Duration,
+    /// How long peers have to close.
+    pub(super) close_timeouts: CloseTimeouts,
     /// The advertised load hint as it is written.
     load_hint: Option<String>,
     /// Connections to which output was added in this turn.
@@ -155,12 +51,7 @@
 impl EdgeConnections {
     /// Allows this many connections at once.
     pub(super) fn with_limit(max_connections: usize) -> EdgeConnections {
-        EdgeConnections { max_connections, close_timeout: CLOSE_TIMEOUT, ..EdgeConnections::default() }
-    }
-
-    /// Limits each of the two waits for a peer to a third of the time until this server exits.
-    pub(super) fn limit_close_timeout(&mut self, until_exit: Duration) {
-        self.close_timeout = self.close_timeout.min(until_exit / 3);
+        EdgeConnections { max_connections, ..EdgeConnections::default() }
     }
 
     /// Adds a connection. `register` is called with its id; on an error the connection is removed again. Returns
@@ -219,18 +110,23 @@
     }
 
     /// The connection that has been idle for longest. Connections that have never sent a complete message come first,
-    /// except new ones.
+    /// except new ones, then those whose peers have not reacted to being asked to close.
     pub(super) fn longest_idle(&self, now: Duration) -> Option<ConnId> {
         let idle_since =
             |conn: &ConnId| self.connections.get(Slot(conn.0)).map_or(now, |edge| edge.idle_since);
+        let is_unresponsive = |conn: &ConnId| {
+            let state = self.connections.get(Slot(conn.0)).map(|edge| edge.state);
+            matches!(state, Some(ConnectionState::Closing { asked_at }) if now >= asked_at + REACTION_TIMEOUT)
+        };
         let without_message =
-            self.idle_without_message.first.filter(|conn| now >= idle_since(conn) + NEW_CONNECTION_GRACE);
-        without_message.or(self.idle_with_message.first)
+            self.idle.without_message.first.filter(|conn| now >= idle_since(conn) + NEW_CONNECTION_GRACE);
+        let unresponsive = self.idle.closing.first.filter(is_unresponsive);
+        without_message.or(unresponsive).or(self.idle.with_message.first).or(self.idle.closing.first)
     }
 
-    /// The connection that has been idle for longest in either list.
+    /// The connection that has been idle for longest among those whose peers were not asked to close.
     fn first_to_time_out(&self) -> Option<IdleConnection> {
-        let firsts = [self.idle_without_message.first, self.idle_with_message.first].into_iter().flatten();
+        let firsts = [self.idle.without_message.first, self.idle.with_message.first].into_iter().flatten();
         let idle = firsts.filter_map(|conn| {
             let edge = self.connections.get(Slot(conn.0))?;
             Some(IdleConnection { since: edge.idle_since, conn })
@@ -240,8 +136,7 @@
 
     fn join_idle_list(&mut self, conn: ConnId) {
         let Some(edge) = self.connections.get_mut(Slot(conn.0)) else { return };
-        let list =
-            if edge.has_sent_message { &mut self.idle_with_message } else { &mut self.idle_without_message };
+        let list = self.idle.list(edge.idle_kind());
         let previous = list.last.replace(conn);
         edge.idle_link = Some(IdleLink { previous, next: None });
         match previous {
@@ -254,8 +149,7 @@
     fn leave_idle_list(&mut self, conn: ConnId) -> bool {
         let Some(edge) = self.connections.get_mut(Slot(conn.0)) else { return false };
         let Some(IdleLink { previous, next }) = edge.idle_link.take() else { return false };
-        let list =
-            if edge.has_sent_message { &mut self.idle_with_message } else { &mut self.idle_without_message };
+        let list = self.idle.list(edge.idle_kind());
         if previous.is_none() {
             list.first = next;
         }
@@ -379,7 +273,7 @@
                     timers.set(TimerEvent::IdleTimeout, now + timeout);
                 }
             }
-            ConnectionState::Closing => timers.set(TimerEvent::CloseTimeout(conn), now + self.close_timeout),
+            ConnectionState::Closing { .. } => self.schedule_close(conn, now, timers),
             ConnectionState::Lingering => {}
         }
     }
@@ -403,13 +297,7 @@
         while let Some(IdleConnection { conn, .. }) =
             self.first_to_time_out().filter(|idle| idle.since + timeout <= now)
         {
-            // A connection that is closing already has a timer of its own.
-            let is_closing = self.get(conn).is_none_or(|edge| edge.state == ConnectionState::Closing);
-            if is_closing {
-                self.leave_idle_list(conn);
-            } else {
-                self.ask_to_close(conn, now, timers);
-            }
+            self.ask_to_close(conn, now, timers);
         }
         self.schedule_idle_timeout(timers);
     }
@@ -417,23 +305,44 @@
     /// Asks the peer to send no new requests; the connection closes once all calls are answered. If this server just
     /// closed it, a request could be under way at that moment and be lost.
     fn ask_to_close(&mut self, conn: ConnId, now: Duration, timers: &mut Deadlines<TimerEvent>) {
-        if let Some(edge) = self.get(conn).filter(|edge| edge.state == ConnectionState::Open) {
-            edge.state = ConnectionState::Closing;
-            self.send(conn, |output, _| output.append_framing(msgpack_rpc::write_closing));
-            self.mark_idle(conn, now, timers);
+        if self.get(conn).is_none_or(|edge| edge.state != ConnectionState::Open) {
+            return;
+        }
+        let was_idle = self.leave_idle_list(conn);
+        if let Some(edge) = self.get(conn) {
+            edge.state = ConnectionState::Closing { asked_at: now };
+        }
+        self.send(conn, |output, _| output.append_framing(msgpack_rpc::write_closing));
+        if was_idle {
+            self.join_idle_list(conn);
+            self.schedule_close(conn, now, timers);
         }
     }
 
-    /// Asks the peers of all connections to close.
+    /// Sets the time after which a closing connection without open calls is closed by this server.
+    fn schedule_close(&mut self, conn: ConnId, now: Duration, timers: &mut Deadlines<TimerEvent>) {
+        let idle_since = self.get(conn).map_or(now, |edge| edge.idle_since);
+        timers.set(TimerEvent::CloseTimeout(conn), now + self.close_timeouts.closing(idle_since, now));
+    }
+
+    /// Asks the peers of all connections to close, and waits for those that were asked before no longer than for the
+    /// others.
     pub(super) fn ask_all_to_close(&mut self, now: Duration, timers: &mut Deadlines<TimerEvent>) {
         let all: Vec<ConnId> = self.connections.iter().map(|(slot, _)| ConnId(slot.0)).collect();
-        all.into_iter().for_each(|conn| self.ask_to_close(conn, now, timers));
+        for conn in all {
+            let waits_for_peer =
+                self.get(conn).is_some_and(|edge| edge.is_closing() && edge.open_calls.is_empty());
+            if waits_for_peer {
+                self.schedule_close(conn, now, timers);
+            }
+            self.ask_to_close(conn, now, timers);
+        }
     }
 
     /// Makes a connection linger: its output is written, then the write side is shut down, and input is discarded.
     pub(super) fn linger(&mut self, conn: ConnId, now: Duration, timers: &mut Deadlines<TimerEvent>) {
         self.leave_idle_list(conn);
-        let close_timeout = self.close_timeout;
+        let linger_timeout = self.close_timeouts.lingering();
         let Some(edge) = self.get(conn).filter(|edge| !edge.is_lingering()) else { return };
         edge.state = ConnectionState::Lingering;
         edge.open_calls.clear();
@@ -445,7 +354,7 @@
         edge.final_wait_started = edge.write_shut_down;
         self.lingering.push_back(conn);
         timers.remove(TimerEvent::MessageTimeout(conn));
-        timers.set(TimerEvent::CloseTimeout(conn), now + close_timeout);
+        timers.set(TimerEvent::CloseTimeout(conn), now + linger_timeout);
     }
 
     /// Called when the close timeout of a lingering connection expires. Returns true if the connection has to be
@@ -458,7 +367,7 @@
         stall_timeout: Duration,
         timers: &mut Deadlines<TimerEvent>,
     ) -> bool {
-        let close_timeout = self.close_timeout;
+        let linger_timeout = self.close_timeouts.lingering();
         let Some(edge) = self.get(conn) else { return false };
         edge.flush();
         let is_over = match edge.write_shut_down {
@@ -466,7 +375,7 @@
             false => !edge.made_progress(now) && now >= edge.idle_since + stall_timeout,
         };
         if !is_over {
-            timers.set(TimerEvent::CloseTimeout(conn), now + close_timeout);
+            timers.set(TimerEvent::CloseTimeout(conn), now + linger_timeout);
         }
         is_over
     }
--- a/crates/aldercrank-server/src/net/edge_requests.rs
+++ b/crates/aldercrank-server/src/net/edge_requests.rs
@@ -1,7 +1,7 @@
 //! Reads connections from edge nodes and hands each request to the core.
 
 use super::connection::{discard_consumed, Connection, ReadOutcome};
-use super::edge_connections::{EdgeConnection, MESSAGE_TIMEOUT};
+use super::edge_connection::{EdgeConnection, MESSAGE_TIMEOUT};
 use super::poller::{StreamEvent, StreamOwner};
 use super::{Server, TimerEvent};
 use crate::clock::Clock;
--- a/crates/aldercrank-server/src/net/mod.rs
+++ b/crates/aldercrank-server/src/net/mod.rs
@@ -3,12 +3,14 @@
 //! This module makes no decisions about requests or versions. It turns input into calls of the core and of the
 //! agreement on the versioned configuration, and performs the I/O that they ask for.
 
+mod close_timeouts;
 mod config_agreement;
 mod config_reload;
 mod connection;
 mod core_ports;
 mod dependency_calls;
 mod edge_closing;
+mod edge_connection;
 mod edge_connections;
 mod edge_requests;
 mod http_exchange;
--- a/crates/aldercrank-server/src/net/shutdown.rs
+++ b/crates/aldercrank-server/src/net/shutdown.rs
@@ -32,7 +32,7 @@
         self.net().timers.set(TimerEvent::StopListening, stop_listening_at);
         let exit_at = drained_by + closing_time / 2;
         self.net().timers.set(TimerEvent::Exit, exit_at);
-        self.net().edge.limit_close_timeout(exit_at.saturating_sub(stop_listening_at));
+        self.net().edge.close_timeouts.limit(exit_at.saturating_sub(stop_listening_at));
         if let Some(core) = &mut self.core {
             core.drain(now, drained_by);
         } else {
--- a/crates/aldercrank-server/src/net/socket_settings.rs
+++ b/crates/aldercrank-server/src/net/socket_settings.rs
@@ -1,5 +1,6 @@
 //! The platform's settings that this module uses itself, apart from the core.
 
+use super::edge_connections::EdgeConnections;
 use super::MAX_SLEEP;
 use aldercrank::{parameters, Settings};
 use std::rc::Rc;
@@ -22,6 +23,8 @@
     pub(super) reports_health: bool,
     /// The longest deadline of any request class.
     pub(super) longest_deadline: Duration,
+    /// How long edge nodes keep idle connections open.
+    idle_limit: Duration,
     /// The deadlines of the request classes if requests don't state budgets; otherwise empty.
     class_deadlines: Vec<ClassDeadline>,
 }
@@ -41,10 +44,16 @@
             read_slice: answer_slack.mul_f64(READ_SLICE_SHARE),
             reports_health: settings.flag("family_info.readiness") != Some(false),
             longest_deadline,
+            idle_limit: settings.duration("family_info.idle").unwrap_or_default(),
             class_deadlines: class_deadlines.collect(),
         }
     }
 
+    /// Sets what the connections from edge nodes depend on.
+    pub(super) fn apply_to(&self, edge: &mut EdgeConnections) {
+        edge.close_timeouts.set_peer_limits(self.idle_limit, self.longest_deadline);
+    }
+
     /// The budget of a request that states none: the deadline of its class. `None` if requests have to state a budget.
     pub(super) fn default_budget(&self, class: &str) -> Option<Duration> {
         let known = self.class_deadlines.iter().find(|known| *known.class == *class);
--- a/crates/aldercrank-server/src/net/startup.rs
+++ b/crates/aldercrank-server/src/net/startup.rs
@@ -142,7 +142,7 @@
 impl Server {
     fn new(
         config: Config,
-        net: Net,
+        mut net: Net,
         read_config: ReadConfig,
         listener: Rc<TcpListener>,
         listener_token: RegistrationToken,
@@ -152,6 +152,7 @@
             .as_ref()
             .map(|agreement| Box::new(ConfigAgreement::new(&config, agreement, net.event_loop.clone())));
         let socket_settings = SocketSettings::new(&config.settings);
+        socket_settings.apply_to(&mut net.edge);
         Server {
             net: Rc::new(RefCell::new(net)),
             core: None,
--- a/crates/aldercrank-server/tests/suite/main.rs
+++ b/crates/aldercrank-server/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod config;
 mod core;
 mod crossings;
+mod delayed_input;
 mod edge_connections;
 mod edge_protocol;
 mod golden_command_line;
