The rest of a delayed message is awaited up to the longest deadline

Callers would see: a request that a partition cuts in two fails all open calls of its connection after 1.5 s and gets no answer itself, though its caller waits longer.

Cause: MESSAGE_TIMEOUT, 1.5 s after a message's first byte, ended the connection as a protocol violation.

Fix: on a connection that has sent a complete message, the rest of a later one is awaited for the longest deadline, after which its caller has given up.

--- a/crates/aldercrank-server/src/net/edge_connection.rs
+++ b/crates/aldercrank-server/src/net/edge_connection.rs
@@ -15,9 +15,9 @@
 use crate::core::MessageId;
 use std::time::Duration;
 
-/// How long a connection may go without a complete message after it was made, or after a message's first byte. Edge
-/// nodes connect when they have something to send, and messages are small.
-pub(super) const MESSAGE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long a connection may go without its first complete message after it was made, or after that message's first
+/// byte. Edge nodes connect when they have something to send, and messages are small.
+pub(super) const FIRST_MESSAGE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// State of a connection, see the documentation of this module.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,7 +79,7 @@
             idle_link: None,
             idle_since: now,
             has_sent_message: false,
-            message_due: Some(now + MESSAGE_TIMEOUT),
+            message_due: Some(now + FIRST_MESSAGE_TIMEOUT),
             input_empty_at,
             checked_written_bytes: 0,
             write_shut_down: false,
--- a/crates/aldercrank-server/src/net/edge_connections.rs
+++ b/crates/aldercrank-server/src/net/edge_connections.rs
@@ -6,7 +6,7 @@
 
 use super::close_timeouts::{CloseTimeouts, REACTION_TIMEOUT};
 use super::connection::{Connection, EventLoopHandle};
-use super::edge_connection::{ConnectionState, EdgeConnection, MESSAGE_TIMEOUT};
+use super::edge_connection::{ConnectionState, EdgeConnection, FIRST_MESSAGE_TIMEOUT};
 use super::idle_list::{IdleLink, IdleLists};
 use super::TimerEvent;
 use crate::core::{ConnId, MessageId, ReplyTo};
@@ -40,6 +40,9 @@
     /// Lingering connections, in the order in which they began to linger.
     lingering: VecDeque<ConnId>,
     idle_timeout: Option<Duration>,
+    /// How long a connection that has sent a complete message may go without the rest of another one after its first
+    /// byte. The network may delay that, and its caller waits for the longest deadline at most.
+    pub(super) later_message_timeout: Duration,
     /// How long peers have to close.
     pub(super) close_timeouts: CloseTimeouts,
     /// The advertised load hint as it is written.
@@ -94,10 +97,12 @@
                 self.join_idle_list(conn);
             }
         }
+        let later_message_timeout = self.later_message_timeout.max(FIRST_MESSAGE_TIMEOUT);
         let Some(edge) = self.get(conn) else { return };
+        let timeout = if edge.has_sent_message { later_message_timeout } else { FIRST_MESSAGE_TIMEOUT };
         let message_due = match edge.connection.input.is_empty() {
             true if edge.has_sent_message => None,
-            false if received_message || edge.message_due.is_none() => Some(now + MESSAGE_TIMEOUT),
+            false if received_message || edge.message_due.is_none() => Some(now + timeout),
             _ => edge.message_due,
         };
         if std::mem::replace(&mut edge.message_due, message_due) == message_due {
--- a/crates/aldercrank-server/src/net/edge_requests.rs
+++ b/crates/aldercrank-server/src/net/edge_requests.rs
@@ -1,7 +1,7 @@
 //! Reads connections from edge nodes and hands each request to the core.
 
 use super::connection::{discard_consumed, Connection, ReadOutcome};
-use super::edge_connection::{EdgeConnection, MESSAGE_TIMEOUT};
+use super::edge_connection::{EdgeConnection, FIRST_MESSAGE_TIMEOUT};
 use super::poller::{StreamEvent, StreamOwner};
 use super::{Server, TimerEvent};
 use crate::clock::Clock;
@@ -54,7 +54,7 @@
     #[error("message id of a call that is still open was used again")]
     DuplicateMessageId,
     /// No complete message was received in time.
-    #[error("no complete message within {MESSAGE_TIMEOUT:?}")]
+    #[error("no complete message in time")]
     MessageTimeout,
     /// A required field, given by its name in the protocol, is missing or can't be decoded.
     #[error("request field {0} is missing or can't be decoded")]
@@ -228,7 +228,7 @@
         match inserted {
             Ok(Some(conn)) => {
                 net.mark_idle(conn);
-                net.timers.set(TimerEvent::MessageTimeout(conn), now + MESSAGE_TIMEOUT);
+                net.timers.set(TimerEvent::MessageTimeout(conn), now + FIRST_MESSAGE_TIMEOUT);
             }
             Ok(None) => {}
             Err(e) => {
--- a/crates/aldercrank-server/src/net/socket_settings.rs
+++ b/crates/aldercrank-server/src/net/socket_settings.rs
@@ -51,6 +51,7 @@
 
     /// Sets what the connections from edge nodes depend on.
     pub(super) fn apply_to(&self, edge: &mut EdgeConnections) {
+        edge.later_message_timeout = self.longest_deadline;
         edge.close_timeouts.set_peer_limits(self.idle_limit, self.longest_deadline);
     }
 
