A full deduplication table rejects no repeat of what may have run

Fix: a key that has an entry needs no room; a repeat without an id fails. Tested on the table; the two answers in the core are not forced by a test.

--- a/crates/aldercrank-server/src/core/receive.rs
+++ b/crates/aldercrank-server/src/core/receive.rs
@@ -43,6 +43,16 @@
         }
         Some(class)
     }
+
+    /// Answers a request for which there is no id. The original of a repeat may have run, so a repeat is not rejected.
+    fn answer_without_id(&mut self, reply_to: ReplyTo, is_repeat: bool) {
+        if is_repeat {
+            tracing::error!("repeat failed: all request ids are in use");
+            return self.ports.fail(reply_to);
+        }
+        tracing::error!("request rejected: all request ids are in use");
+        self.ports.reject(reply_to, None, false);
+    }
 }
 
 impl<P: Ports> Core<P> {
@@ -57,11 +67,11 @@
         let reported_age = received.arrival.unread_time.min(state.longest_deadline);
         let arrived_at = now.saturating_sub(reported_age);
         let unread_time = reported_age.min(received.max_unread_time);
-        if received.dedup_key.is_some() && state.dedup.is_full() {
+        let dedup_key = received.dedup_key.as_ref();
+        if dedup_key.is_some_and(|key| !state.dedup.has_room_for(key)) {
             tracing::error!("request rejected: the deduplication table is full");
             return state.ports.reject(reply_to, None, false);
         }
-        let dedup_key = received.dedup_key.as_ref();
         let repeats = dedup_key.and_then(|key| state.dedup.find_original(key, arrived_at, now));
         let request = Request {
             attempt: received.attempt,
@@ -81,8 +91,7 @@
             waiters: Vec::new(),
         };
         let Some(id) = state.requests.insert(request).map(|slot| RequestId(slot.0)) else {
-            tracing::error!("request rejected: all request ids are in use");
-            return state.ports.reject(reply_to, None, false);
+            return state.answer_without_id(reply_to, repeats.is_some());
         };
         log_request!(
             received.attempt,
--- a/crates/aldercrank-server/src/dedup.rs
+++ b/crates/aldercrank-server/src/dedup.rs
@@ -152,9 +152,9 @@
         Some(StoredEntry { entry: id, replaced: None })
     }
 
-    /// Whether the maximum number of entries is reached.
-    pub fn is_full(&self) -> bool {
-        self.entries.len() >= MAX_ENTRIES
+    /// Whether a request with this key can be remembered: it has an entry, or the maximum number is not reached.
+    pub fn has_room_for(&self, key: &DedupKey) -> bool {
+        self.ids.contains_key(key) || self.entries.len() < MAX_ENTRIES
     }
 
     /// Returns the number of entries, expired ones included.
--- a/crates/aldercrank-server/tests/suite/tables.rs
+++ b/crates/aldercrank-server/tests/suite/tables.rs
@@ -66,3 +66,19 @@
     table.run_ended(&subject, a, None);
     assert_eq!(table.find_original(&subject, S, S), None);
 }
+
+/// A repeat of a request that ran was rejected, as if it had never run, while the table was full.
+#[test]
+fn a_full_table_of_deduplication_entries_has_room_for_repeats_only() {
+    let mut table = DedupTable::new(0);
+    let key = |number: u32| DedupKey::token("p", &number.to_string(), b"");
+    let mut stored = 0;
+    while table.has_room_for(&key(stored)) {
+        table.store(&key(stored), RequestId(stored), S).unwrap();
+        stored += 1;
+    }
+    assert!((0..stored).all(|number| table.has_room_for(&key(number))));
+    let entry = table.store(&key(0), RequestId(stored), S * 2).unwrap().entry;
+    table.expire(entry);
+    assert!(table.has_room_for(&key(stored)), "an entry was removed");
+}
