An unhealthy server to which nobody sends becomes healthy again

Cause: health follows unread_seconds, which changed only where a request is read, and an unhealthy server is sent none. Between the level that matters and health, the same value kept the admission threshold up, so an idle server rejected what came next.

Fix: while the server is unhealthy or its threshold is above 0, the value decays by a fifth at each evaluation in which no request was read, as run times did already. The golden file of decisions is unchanged.

--- a/src/admission/constants.rs
+++ b/src/admission/constants.rs
@@ -39,6 +39,8 @@
 pub(super) const EXTRA_RUN_TIMES: f64 = 2.0;
 /// Weight of a new sample in exponentially smoothed values.
 pub(super) const SMOOTHING: f64 = 0.1;
+/// Share by which a value that requests and runs determine approaches its initial value at an evaluation without any.
+pub(super) const DECAY_WITHOUT_SAMPLES: f64 = 0.2;
 /// The arrival counts of all classes are multiplied by this factor at each arrival.
 pub(super) const ARRIVAL_DECAY: f64 = 0.995;
 /// Once more than this share of the read requests is rejected, callers are asked not to try other servers.
--- a/src/admission/window.rs
+++ b/src/admission/window.rs
@@ -1,8 +1,8 @@
 //! The concurrency window: its evaluation and limit, and the speed of the server while it warms up.
 
 use super::constants::{
-    COLD_WINDOW_PER_CORE, GROWTH_MAX_P99, INITIAL_RUN_TIME, MIN_IDLE_SHARE, MIN_ON_CORE_SHARE, P99_SPAN,
-    SMOOTHING, STORM_READ_SHARE, WARM_WINDOW_PER_CORE, WINDOW_CUT_FACTOR, WINDOW_INCREMENT,
+    COLD_WINDOW_PER_CORE, DECAY_WITHOUT_SAMPLES, GROWTH_MAX_P99, INITIAL_RUN_TIME, MIN_IDLE_SHARE,
+    MIN_ON_CORE_SHARE, P99_SPAN, STORM_READ_SHARE, WARM_WINDOW_PER_CORE, WINDOW_CUT_FACTOR, WINDOW_INCREMENT,
 };
 use super::state::LogTopic;
 use super::Admission;
@@ -16,6 +16,7 @@
         let last_evaluation = std::mem::replace(&mut self.evaluated_at, now);
         self.evaluate_window(now);
         self.decay_run_times(last_evaluation);
+        self.decay_unread_time();
         self.evaluate_call_window(now);
         self.evaluate_idle_timeout();
     }
@@ -46,11 +47,21 @@
         for i in 0..self.classes.len() {
             let initial = self.classes[i].latency_target.as_secs_f64() * INITIAL_RUN_TIME;
             if !self.recent_runs.has_ended_since(i, last_evaluation) && self.run_seconds[i] > initial {
-                self.run_seconds[i] += 2.0 * SMOOTHING * (initial - self.run_seconds[i]);
+                self.run_seconds[i] += DECAY_WITHOUT_SAMPLES * (initial - self.run_seconds[i]);
             }
         }
     }
 
+    /// While the server is unhealthy, decays the time that requests wait unread if none was read since the last
+    /// evaluation: callers that steer clear of it send no request that would show that it reads promptly again. On a
+    /// server that still reads late the time does not decay, since it reads requests all the time.
+    fn decay_unread_time(&mut self) {
+        let request_was_read = std::mem::take(&mut self.request_was_read);
+        if (!self.healthy || self.threshold > 0.0) && !request_was_read {
+            self.unread_seconds *= 1.0 - DECAY_WITHOUT_SAMPLES;
+        }
+    }
+
     /// Shortens the idle timeout, down to a bound that is lower the more callers there are and so the less often each
     /// of them returns: a full connection table takes CPU time and leaves no room for new connections. Lengthens it in
     /// a reconnect storm, where rejecting on an open connection is cheapest.
--- a/tests/suite/generated_inputs.rs
+++ b/tests/suite/generated_inputs.rs
@@ -6,10 +6,10 @@
 use quickcheck::{Gen, QuickCheck, TestResult};
 
 /// The kind of an event, a selector for what it applies to, and an amount such as a duration.
-type Step = (u8, u8, u16);
+pub type Step = (u8, u8, u16);
 
 /// Settings that vary with `pick`; some of them are missing or invalid.
-fn any_settings(pick: u32) -> aldercrank::Settings {
+pub fn any_settings(pick: u32) -> aldercrank::Settings {
     let mut settings = settings(&["retryable", "dedup", "fragile", "retryable"]);
     let text = |list: &[&str], index: u32| Value::Text(list[index as usize % list.len()].to_string());
     settings.set("family_info.halt", text(&["none", "abort", "suspend"], pick));
@@ -32,7 +32,7 @@
     settings
 }
 
-fn step(scenario: &mut Scenario, (event, choice, amount): Step) {
+pub fn step(scenario: &mut Scenario, (event, choice, amount): Step) {
     let now = scenario.now();
     let pick = |scenario: &Scenario, stages: &[Stage]| {
         let model = scenario.model.0.borrow();
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod generated_inputs;
 mod golden;
 mod model;
+mod recovery;
 mod running_sums;
 mod upstream_calls;
 mod window_and_queue;
--- a/tests/suite/model.rs
+++ b/tests/suite/model.rs
@@ -84,6 +84,7 @@
     /// Timeouts of the upstream calls made so far.
     pub call_timeouts: Vec<Duration>,
     pub rejected: Vec<Rejection>,
+    pub healthy: bool,
 }
 
 impl Model {
@@ -256,7 +257,9 @@
         }
         model.requests.get_mut(&id).unwrap().stage = Stage::Running;
     }
-    fn set_health(&mut self, _healthy: bool, _stored: bool) {}
+    fn set_health(&mut self, healthy: bool, _stored: bool) {
+        self.0.borrow_mut().healthy = healthy;
+    }
     fn close_idle(&mut self, span: Duration) {
         self.0.borrow_mut().idle_timeout = span;
     }
