On a healthy server the time unread decays only once runs of that age no longer count

It now waits, on a healthy server whose threshold is above 0, until no request was read for the span in which runs count; on an unhealthy one it works at once, as before.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -75,8 +75,8 @@
     idle_timeout: Duration,
     /// Smoothed time that requests wait before they are read, in seconds.
     unread_seconds: f64,
-    /// Whether a request was read since the last evaluation.
-    request_was_read: bool,
+    /// When the last request was read.
+    request_read_at: Duration,
     /// Smoothed share of the read requests that are rejected.
     rejected_share: f64,
     /// Smoothed share of running requests that use a core rather than a disk. The limit of the window applies to those.
@@ -131,7 +131,7 @@
             read_load: 0.0,
             idle_timeout: INITIAL_IDLE_TIMEOUT,
             unread_seconds: 0.0,
-            request_was_read: false,
+            request_read_at: now,
             rejected_share: 0.0,
             on_core_share: 1.0,
             healthy: true,
--- a/src/admission/requests.rs
+++ b/src/admission/requests.rs
@@ -30,7 +30,7 @@
             return;
         }
         self.rejected_share *= 1.0 - SMOOTHING;
-        self.request_was_read = true;
+        self.request_read_at = now;
         self.unread_seconds += SMOOTHING * (incoming.unread_time.as_secs_f64() - self.unread_seconds);
         let Some(class_index) = self.classes.iter().position(|class| *class.name == *incoming.class) else {
             return self.host.reject(id, None, false);
--- a/src/admission/window.rs
+++ b/src/admission/window.rs
@@ -16,15 +16,13 @@
         let last_evaluation = std::mem::replace(&mut self.evaluated_at, now);
         self.evaluate_window(now);
         self.decay_run_times(last_evaluation);
-        self.decay_unread_time();
+        self.decay_unread_time(now, last_evaluation);
         self.evaluate_call_window(now);
         self.evaluate_idle_timeout();
     }
 
     fn evaluate_window(&mut self, now: Duration) {
-        let longest_target =
-            self.classes.iter().map(|class| class.latency_target).max().unwrap_or(self.parameters.tick);
-        let p99 = self.recent_runs.p99(now, longest_target.mul_f64(P99_SPAN));
+        let p99 = self.recent_runs.p99(now, self.sample_span());
         if p99 > 1.0 {
             self.window *= WINDOW_CUT_FACTOR;
             let window = self.window;
@@ -52,16 +50,24 @@
         }
     }
 
-    /// While the server is unhealthy, decays the time that requests wait unread if none was read since the last
-    /// evaluation: callers that steer clear of it send no request that would show that it reads promptly again. On a
-    /// server that still reads late the time does not decay, since it reads requests all the time.
-    fn decay_unread_time(&mut self) {
-        let request_was_read = std::mem::take(&mut self.request_was_read);
-        if (!self.healthy || self.threshold > 0.0) && !request_was_read {
+    /// Decays the time that requests wait unread if none was read since the last evaluation of an unhealthy server, or
+    /// none for as long as runs count on a server that sheds load: callers that steer clear of a server send it no
+    /// request that would show that it reads promptly again. On a server that still reads late the time does not decay,
+    /// since it reads requests all the time.
+    fn decay_unread_time(&mut self, now: Duration, last_evaluation: Duration) {
+        let is_avoided = !self.healthy && self.request_read_at <= last_evaluation;
+        let is_outdated = self.threshold > 0.0 && now >= self.request_read_at + self.sample_span();
+        if is_avoided || is_outdated {
             self.unread_seconds *= 1.0 - DECAY_WITHOUT_SAMPLES;
         }
     }
 
+    /// How long measurements count.
+    fn sample_span(&self) -> Duration {
+        let targets = self.classes.iter().map(|class| class.latency_target);
+        targets.max().unwrap_or(self.parameters.tick).mul_f64(P99_SPAN)
+    }
+
     /// Shortens the idle timeout, down to a bound that is lower the more callers there are and so the less often each
     /// of them returns: a full connection table takes CPU time and leaves no room for new connections. Lengthens it in
     /// a reconnect storm, where rejecting on an open connection is cheapest.
