Asking all peers to close only shortens the waits for those asked before

stop_listening runs again each 100 ms while the accept queue can't be emptied, and each time began the wait for closing connections anew. Found by reading the change; the exit was bounded all the same by the exit timer. Guarded by delayed_input::a_peer_that_was_asked_to_close_and_is_silent_delays_a_shutdown_no_longer_than_others, which passes before and after.

--- a/crates/aldercrank-server/src/net/edge_connections.rs
+++ b/crates/aldercrank-server/src/net/edge_connections.rs
@@ -326,8 +326,12 @@
 
     /// Sets the time after which a closing connection without open calls is closed by this server.
     fn schedule_close(&mut self, conn: ConnId, now: Duration, timers: &mut Deadlines<TimerEvent>) {
+        timers.set(TimerEvent::CloseTimeout(conn), self.close_at(conn, now));
+    }
+
+    fn close_at(&mut self, conn: ConnId, now: Duration) -> Duration {
         let idle_since = self.get(conn).map_or(now, |edge| edge.idle_since);
-        timers.set(TimerEvent::CloseTimeout(conn), now + self.close_timeouts.closing(idle_since, now));
+        now + self.close_timeouts.closing(idle_since, now)
     }
 
     /// Asks the peers of all connections to close, and waits for those that were asked before no longer than for the
@@ -335,10 +339,11 @@
     pub(super) fn ask_all_to_close(&mut self, now: Duration, timers: &mut Deadlines<TimerEvent>) {
         let all: Vec<ConnId> = self.connections.iter().map(|(slot, _)| ConnId(slot.0)).collect();
         for conn in all {
-            let waits_for_peer =
-                self.get(conn).is_some_and(|edge| edge.is_closing() && edge.open_calls.is_empty());
-            if waits_for_peer {
-                self.schedule_close(conn, now, timers);
+            if self.get(conn).is_some_and(|edge| edge.is_closing()) {
+                let close_at = self.close_at(conn, now);
+                if timers.get(TimerEvent::CloseTimeout(conn)).is_some_and(|present| present > close_at) {
+                    timers.set(TimerEvent::CloseTimeout(conn), close_at);
+                }
             }
             self.ask_to_close(conn, now, timers);
         }
