Read a traced process's registers on arm64 as well

Cause: the testbench read the number of a system call and its first argument from x86-64 registers, so it did not build on arm64. Change: both reads are chosen by target_arch in one function of syscall_trace.rs; no check, bound or test changed.

--- a/crates/aldercrank-testbench/src/platform_check.rs
+++ b/crates/aldercrank-testbench/src/platform_check.rs
@@ -3,6 +3,7 @@
 //! and UDP over IPv4, other unusual descriptors, listeners that are not configured, static linking.
 
 use crate::scenario_command;
+use crate::syscall_trace::number_and_argument;
 use aldercrank_test_cluster::cluster::{run_dir, RunOptions, TestCluster};
 use aldercrank_test_cluster::process::kill_on_parent_exit;
 use aldercrank_test_cluster::scenario::Scenario;
@@ -99,16 +100,17 @@
         return;
     }
     let Ok(regs) = ptrace::getregs(of) else { return };
-    let name = Sysno::new(regs.orig_rax as usize).map_or("unknown", |s| s.name());
+    let (number, argument) = number_and_argument(&regs);
+    let name = Sysno::new(number).map_or("unknown", |s| s.name());
     let mut observations = lock(observations);
     *observations.calls.entry(name.to_string()).or_insert(0) += 1;
     if REFUSED_SYSTEM_CALLS.contains(&name) {
         observations.faults.insert(format!("system call {name}, which the platform refuses"));
     }
-    if name == "socket" && !matches!(regs.rdi as i32, nix::libc::AF_INET) {
+    if name == "socket" && !matches!(argument as i32, nix::libc::AF_INET) {
         observations
             .faults
-            .insert(format!("a socket of address family {}; the platform supports only IPv4", regs.rdi));
+            .insert(format!("a socket of address family {}; the platform supports only IPv4", argument));
     }
 }
 
--- a/crates/aldercrank-testbench/src/syscall_trace.rs
+++ b/crates/aldercrank-testbench/src/syscall_trace.rs
@@ -46,6 +46,14 @@
     }
 }
 
+/// The number of the system call that a process enters, and its first argument.
+pub(crate) fn number_and_argument(regs: &nix::libc::user_regs_struct) -> (usize, u64) {
+    #[cfg(target_arch = "x86_64")]
+    return (regs.orig_rax as usize, regs.rdi);
+    #[cfg(target_arch = "aarch64")]
+    return (regs.regs[8] as usize, regs.regs[0]);
+}
+
 fn follow(pid: Pid, calls: &Mutex<Calls>) -> nix::Result<()> {
     loop {
         match waitpid(pid, Some(WaitPidFlag::__WALL))? {
@@ -53,7 +61,7 @@
             WaitStatus::PtraceSyscall(_) => {
                 let info = ptrace::syscall_info(pid)?;
                 if info.op == nix::libc::PTRACE_SYSCALL_INFO_ENTRY {
-                    let number = ptrace::getregs(pid)?.orig_rax as usize;
+                    let (number, _) = number_and_argument(&ptrace::getregs(pid)?);
                     let name = Sysno::new(number).map_or("unknown", |s| s.name());
                     *calls.lock().unwrap_or_else(PoisonError::into_inner).entry(name).or_insert(0) += 1;
                 }
