--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -424,6 +424,39 @@
     return f"HTTP/1.1 {status} -\r\n{extra}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
+class Relay:
+    """A relay between edge nodes and the backend. While it is cut, bytes and ends wait on the way, in both directions."""
+
+    def __init__(self, address):
+        self.address = address
+        self.open = asyncio.Event()
+        self.open.set()
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        return "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+
+    async def accept(self, reader, writer):
+        host, port = self.address.split(":")
+        await self.open.wait()
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(self.pump(reader, far_writer), self.pump(far_reader, writer))
+
+    async def pump(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                await self.open.wait()
+                writer.write(data)
+        except OSError:
+            pass
+        await self.open.wait()
+        writer.close()
+
+
 def free_port():
     with socket.socket() as s:
         s.bind(("127.0.0.1", 0))
@@ -529,8 +562,8 @@
         self.record(f"signal {signal.Signals(number).name}")
         self.process.send_signal(number)
 
-    async def connect(self, name="edge"):
-        host, port = self.listen.split(":")
+    async def connect(self, name="edge", address=None):
+        host, port = (address or self.listen).split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         connection = EdgeConnection(self, reader, writer, name)
         self.connections.append(connection)
