Clients whose ids the worker pool does not know are not served others' results

Kin: their own reads dropped the subject's cached result, and genuine reads that waited for them failed with them.

Cause: only a start command shows whether the pool knows an id, and a request that is joined to an original is never started, so nothing checked its id.

Change: reads share results only on connections of which the pool has run a request, and has since not answered 'unknown' to one. Others run by themselves and leave nothing in the table. Keyed repeats are as before: they have the key, the class and the body of what they repeat.

Both new tests in shared_reads fail without the change in src/core (seen: no start command for the unknown read, none for the genuine one behind it).

--- a/crates/aldercrank-server/src/core/mod.rs
+++ b/crates/aldercrank-server/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! the trait [`Ports`]. Only the admission module decides on admission.
 
 mod configuration;
+mod confirmed_connections;
 mod host;
 mod lease;
 mod log;
--- a/crates/aldercrank-server/src/core/receive.rs
+++ b/crates/aldercrank-server/src/core/receive.rs
@@ -5,6 +5,7 @@
 use super::request::{Delivery, Request, Stage};
 use super::state::CoreState;
 use super::{Core, MessageId};
+use crate::dedup::DedupKey;
 use crate::payload;
 use aldercrank::{Effect, IncomingRequest, RequestId};
 use std::ops::Bound;
@@ -67,16 +68,17 @@
         let reported_age = received.arrival.unread_time.min(state.longest_deadline);
         let arrived_at = now.saturating_sub(reported_age);
         let unread_time = reported_age.min(received.max_unread_time);
-        let dedup_key = received.dedup_key.as_ref();
-        if dedup_key.is_some_and(|key| !state.dedup.has_room_for(key)) {
+        let may_share = |key: &DedupKey| state.confirmed_connections.may_share(reply_to.conn, key);
+        let dedup_key = received.dedup_key.filter(may_share);
+        if dedup_key.is_some_and(|key| !state.dedup.has_room_for(&key)) {
             tracing::error!("request rejected: the deduplication table is full");
             return state.ports.reject(reply_to, None, false);
         }
-        let repeats = dedup_key.and_then(|key| state.dedup.find_original(key, arrived_at, now));
+        let repeats = dedup_key.and_then(|key| state.dedup.find_original(&key, arrived_at, now));
         let request = Request {
             attempt: received.attempt,
             reply_to: Some(reply_to),
-            dedup_key: received.dedup_key,
+            dedup_key,
             class,
             effect,
             body: Some(payload::copy_body(received.body)),
@@ -123,6 +125,7 @@
 
     /// A connection was lost, and with it all callers on it.
     pub fn connection_lost(&mut self, now: Duration, conn: ConnId) {
+        self.admission.host.confirmed_connections.revoke(conn);
         let first = ReplyTo { conn, call: MessageId(0) };
         while let Some((reply_to, _)) = self.admission.host.replies_owed.next(Bound::Included(&first)) {
             if reply_to.conn != conn {
--- a/crates/aldercrank-server/src/core/runs.rs
+++ b/crates/aldercrank-server/src/core/runs.rs
@@ -30,6 +30,9 @@
         log_request!(attempt, ?outcome, "run ended");
         let completed = Some(result).filter(|_| outcome == Outcome::Completed);
         if let Some(reply_to) = state.take_reply_to(id) {
+            if outcome != Outcome::NeverStarted {
+                state.confirmed_connections.confirm(reply_to.conn);
+            }
             match completed {
                 Some(result) => state.ports.complete(reply_to, result),
                 None => state.ports.fail(reply_to),
@@ -59,6 +62,11 @@
 
     /// The worker pool does not know a run whose start command it has received, so the run will never start.
     pub fn run_unknown(&mut self, now: Duration, attempt: AttemptId) {
+        let state = self.advance_to(now);
+        let id = state.in_flight.get(&attempt).copied();
+        if let Some(reply_to) = id.and_then(|id| state.request(id)?.reply_to) {
+            state.confirmed_connections.revoke(reply_to.conn);
+        }
         self.run_ended(now, attempt, Outcome::NeverStarted, Duration::ZERO, Payload::Transient(&[]));
     }
 
--- a/crates/aldercrank-server/src/core/state.rs
+++ b/crates/aldercrank-server/src/core/state.rs
@@ -1,6 +1,7 @@
 //! The state that the core keeps in addition to the admission module's, and the operations on it that several events
 //! share.
 
+use super::confirmed_connections::ConfirmedConnections;
 use super::lease::Lease;
 use super::ports::{Ports, ReplyTo, TimerId};
 use super::request::{CallResult, Delivery, Request, Stage};
@@ -57,6 +58,7 @@
     pub(super) in_flight: DeterministicMap<AttemptId, RequestId>,
     pub(super) replies_owed: RangeSummaryMap<ReplyTo, RequestId>,
     pub(super) dedup: DedupTable,
+    pub(super) confirmed_connections: ConfirmedConnections,
     pub(super) link: LinkState,
     /// The tag of the latest poll for load metrics.
     pub(super) poll_tag: u64,
@@ -103,6 +105,7 @@
             in_flight: DeterministicMap::default(),
             replies_owed: RangeSummaryMap::default(),
             dedup: DedupTable::new(result_capacity),
+            confirmed_connections: ConfirmedConnections::default(),
             link: LinkState::Down,
             poll_tag: 0,
             polling: false,
--- /dev/null
+++ b/crates/aldercrank-server/tests/suite/shared_reads.rs
@@ -0,0 +1,105 @@
+//! Reads that share the result of another read of their subject, over real connections.
+
+use crate::codecs::request_message;
+use crate::harness::{attempt, unix_time_ms, EdgeConnection, PoolConnection, Program};
+use std::io::Write;
+
+/// How long results are shared, in microseconds: longer than a test.
+const SHARED_FOR_US: u64 = 60_000_000;
+const SUBJECT: &str = "track-1";
+
+/// An error response: neither a result nor a rejection.
+const FAILED: &[u8] = b"Internal";
+
+fn start() -> Program {
+    Program::start_with(Some(|_: &str| None), |config| {
+        config["settings"]["family_info"]["fresh_for"] = SHARED_FOR_US.into();
+    })
+}
+
+fn send_read(edge: &mut EdgeConnection, id: u32, attempt: &str, subject: &str) {
+    let sent_at = unix_time_ms();
+    let fields = [
+        ("rid", attempt),
+        ("t0", &sent_at),
+        ("peer", "4"),
+        ("budget", "3000"),
+        ("mem", "24.5"),
+        ("prio", "0.9"),
+        ("obj", subject),
+    ];
+    edge.0.write_all(&request_message(id, "map", &fields, b"")).unwrap();
+}
+
+/// Expects the start command of this attempt next, and answers that the worker pool does not know it.
+fn refuse_next_run(pool: &mut PoolConnection, number: u32) {
+    assert_eq!(pool.next_command().0[1], attempt(number));
+    pool.send(&format!("unknown spawn {}\r\n", attempt(number)));
+}
+
+/// Clients with ids that the worker pool does not know were served the results of other clients' reads.
+#[test]
+fn a_read_that_the_worker_pool_does_not_know_is_not_served_the_result_of_another() {
+    let mut program = start();
+    let mut pool = program.wait_until_serving();
+    let mut edge = program.connect();
+    send_read(&mut edge, 1, &attempt(1), SUBJECT);
+    pool.complete_next_run(1, 1, b"first");
+    edge.read_until(&[b"first"]);
+    // On a connection whose requests the pool knows, its result is shared.
+    send_read(&mut edge, 2, &attempt(2), SUBJECT);
+    pool.complete_next_run(2, 2, b"second");
+    edge.read_until(&[b"second"]);
+    send_read(&mut edge, 3, &attempt(3), SUBJECT);
+    edge.read_until(&[b"second"]);
+    // While a result is cached, and again with the id of a request that was answered.
+    let mut unknown = program.connect();
+    send_read(&mut unknown, 1, &attempt(100), SUBJECT);
+    refuse_next_run(&mut pool, 100);
+    unknown.read_until(&[FAILED]);
+    send_read(&mut unknown, 2, &attempt(1), SUBJECT);
+    assert_eq!(pool.next_command().0[1], attempt(1));
+    pool.send(&format!("finished 3 {} void 0 0\r\n\r\n", attempt(1)));
+    unknown.read_until(&[FAILED]);
+    // While the original runs.
+    send_read(&mut edge, 4, &attempt(4), "track-2");
+    assert_eq!(pool.next_command().0[1], attempt(4));
+    send_read(&mut unknown, 3, &attempt(101), "track-2");
+    refuse_next_run(&mut pool, 101);
+    unknown.read_until(&[FAILED]);
+    pool.finish(4, &attempt(4), b"fourth");
+    edge.read_until(&[b"fourth"]);
+    // A connection that sends an unknown id is no longer taken for one that the pool knows.
+    send_read(&mut edge, 5, &attempt(102), "track-3");
+    refuse_next_run(&mut pool, 102);
+    edge.read_until(&[FAILED]);
+    send_read(&mut edge, 6, &attempt(103), SUBJECT);
+    refuse_next_run(&mut pool, 103);
+    edge.read_until(&[FAILED]);
+}
+
+/// A read that waited for one that the worker pool does not know failed with it, and a result that was cached until then
+/// was dropped.
+#[test]
+fn a_read_that_the_worker_pool_does_not_know_takes_nothing_from_others() {
+    let mut program = start();
+    let mut pool = program.wait_until_serving();
+    let mut edge = program.connect();
+    send_read(&mut edge, 1, &attempt(1), "track-2");
+    pool.complete_next_run(1, 1, b"first");
+    edge.read_until(&[b"first"]);
+    let mut unknown = program.connect();
+    send_read(&mut unknown, 1, &attempt(100), SUBJECT);
+    assert_eq!(pool.next_command().0[1], attempt(100));
+    send_read(&mut edge, 2, &attempt(2), SUBJECT);
+    assert_eq!(pool.next_command().0[1], attempt(2), "the second read runs by itself");
+    pool.send(&format!("unknown spawn {}\r\n", attempt(100)));
+    unknown.read_until(&[FAILED]);
+    pool.finish(2, &attempt(2), b"second");
+    edge.read_until(&[b"second"]);
+    send_read(&mut unknown, 2, &attempt(101), SUBJECT);
+    refuse_next_run(&mut pool, 101);
+    unknown.read_until(&[FAILED]);
+    send_read(&mut edge, 3, &attempt(3), SUBJECT);
+    edge.read_until(&[b"second"]);
+}
