Silent clients don't take the places of connections on which requests may be under way

Cause: a full connection table closes an idle connection for a new one. A connection that was just accepted is left alone for 100 ms; in a burst all silent ones are that new, so used connections were closed at once, the longest idle first: those of the zone that was cut off.

Change: silent connections go first; while there are only new ones the newcomers wait in the accept queue. Then connections of which no request was served, then served ones, longest idle first. A used connection that is closed for a new one is logged as a warning.

Evidence: both new tests fail without the change in src/, the first also with peers that were asked to close only.

--- a/crates/aldercrank-server/src/net/core_ports.rs
+++ b/crates/aldercrank-server/src/net/core_ports.rs
@@ -15,7 +15,9 @@
 
 impl Ports for SocketPorts {
     fn complete(&mut self, reply_to: ReplyTo, result: Payload) {
-        self.0.borrow_mut().answer(reply_to, |output, fields| {
+        let mut net = self.0.borrow_mut();
+        net.edge.mark_served(reply_to);
+        net.answer(reply_to, |output, fields| {
             let length = result.bytes().len();
             output.append_framing(|bytes| msgpack_rpc::write_result_start(bytes, reply_to.call, length));
             output.append_result(&result);
--- a/crates/aldercrank-server/src/net/edge_closing.rs
+++ b/crates/aldercrank-server/src/net/edge_closing.rs
@@ -6,6 +6,7 @@
 //! shut down could not be answered, so it is discarded.
 
 use super::edge_requests::{DirectAnswer, ProtocolViolation};
+use super::idle_list::ConnectionUse;
 use super::Server;
 use crate::core::{ConnId, ReplyTo};
 use std::time::Duration;
@@ -44,7 +45,7 @@
     /// false if the limit is reached and no connection can be dropped.
     pub(super) fn make_room(&mut self) -> bool {
         if self.net().edge.is_crowded() {
-            self.close_longest_idle();
+            self.close_idle_for_new();
         }
         while self.net().edge.is_full() {
             let Some(conn) = self.net().edge.longest_lingering() else { return false };
@@ -53,13 +54,13 @@
         true
     }
 
-    /// Closes the connection that has been idle for longest. One with a partial message is closed only if none of the
-    /// others that were read can be.
-    fn close_longest_idle(&mut self) {
+    /// Closes an idle connection for a new one. One with a partial message is closed only if none of the others that were
+    /// read can be.
+    fn close_idle_for_new(&mut self) {
         let mut with_partial_message = None;
         for _ in 0..MAX_IDLE_CHECKS {
             let now = self.now();
-            let Some(conn) = self.net().edge.longest_idle(now) else { break };
+            let Some(conn) = self.net().edge.next_to_make_room(now) else { break };
             match self.read_before_close(conn) {
                 ReadBeforeClose::Gone => return,
                 ReadBeforeClose::Request => {}
@@ -68,7 +69,10 @@
                     // It is receiving a message, so it moves to the end of its list.
                     self.net().mark_idle(conn);
                 }
-                ReadBeforeClose::Empty => return self.linger_edge(conn),
+                ReadBeforeClose::Empty => {
+                    self.log_closed_for_new(conn, now);
+                    return self.linger_edge(conn);
+                }
             }
         }
         if let Some(conn) = with_partial_message {
@@ -76,6 +80,25 @@
         }
     }
 
+    fn log_closed_for_new(&self, conn: ConnId, now: Duration) {
+        let mut net = self.net();
+        let Some(edge) = net.edge.get(conn) else { return };
+        let idle_ms = now.saturating_sub(edge.idle_since).as_millis() as u64;
+        let asked_to_close = edge.is_closing();
+        match edge.usage {
+            ConnectionUse::Silent => {
+                tracing::debug!(connection = conn.0, idle_ms, "closing a silent connection for a new one");
+            }
+            ConnectionUse::Unserved | ConnectionUse::Served => tracing::warn!(
+                connection = conn.0,
+                idle_ms,
+                asked_to_close,
+                served = edge.usage == ConnectionUse::Served,
+                "closing an idle connection for a new one; a request may be under way on it"
+            ),
+        }
+    }
+
     /// Handles a protocol violation: the message doesn't run, all open calls of the connection fail at once, and the
     /// connection closes. Input after the message is ignored.
     pub(super) fn protocol_violated(&mut self, conn: ConnId, violation: ProtocolViolation) {
--- a/crates/aldercrank-server/src/net/edge_connection.rs
+++ b/crates/aldercrank-server/src/net/edge_connection.rs
@@ -11,7 +11,7 @@
 //! under way, unless its place is needed.
 
 use super::connection::Connection;
-use super::idle_list::{IdleKind, IdleLink};
+use super::idle_list::{ConnectionUse, IdleLink};
 use crate::core::MessageId;
 use std::time::Duration;
 
@@ -50,8 +50,7 @@
     pub(super) idle_link: Option<IdleLink>,
     /// When its last call was answered, or it was made.
     pub(super) idle_since: Duration,
-    /// Whether a complete message has ever been received.
-    pub(super) has_sent_message: bool,
+    pub(super) usage: ConnectionUse,
     /// By when a complete message has to be received, if one is expected.
     pub(super) message_due: Option<Duration>,
     /// When it was last known to have no unread input.
@@ -78,7 +77,7 @@
             flush_queued: false,
             idle_link: None,
             idle_since: now,
-            has_sent_message: false,
+            usage: ConnectionUse::Silent,
             message_due: Some(now + FIRST_MESSAGE_TIMEOUT),
             input_empty_at,
             checked_written_bytes: 0,
@@ -87,6 +86,11 @@
         }
     }
 
+    /// Whether a complete message has ever been received.
+    pub(super) fn has_sent_message(&self) -> bool {
+        self.usage != ConnectionUse::Silent
+    }
+
     /// Whether the connection is lingering and accepts no more requests.
     pub(super) fn is_lingering(&self) -> bool {
         self.state == ConnectionState::Lingering
@@ -107,15 +111,6 @@
         matches!(self.state, ConnectionState::Closing { .. })
     }
 
-    /// The list that the connection belongs to while no call is open.
-    pub(super) fn idle_kind(&self) -> IdleKind {
-        match (self.is_closing(), self.has_sent_message) {
-            (true, _) => IdleKind::Closing,
-            (false, true) => IdleKind::WithMessage,
-            (false, false) => IdleKind::WithoutMessage,
-        }
-    }
-
     /// Whether anything has been written since the last check. If so, its idle time starts anew.
     pub(super) fn made_progress(&mut self, now: Duration) -> bool {
         let written = self.connection.written_bytes();
--- a/crates/aldercrank-server/src/net/edge_connections.rs
+++ b/crates/aldercrank-server/src/net/edge_connections.rs
@@ -4,10 +4,10 @@
 //! The number of connections is limited. Near the limit, connections without open calls are closed to make room for new
 //! ones.
 
-use super::close_timeouts::{CloseTimeouts, REACTION_TIMEOUT};
+use super::close_timeouts::CloseTimeouts;
 use super::connection::{Connection, EventLoopHandle};
 use super::edge_connection::{ConnectionState, EdgeConnection, FIRST_MESSAGE_TIMEOUT};
-use super::idle_list::{IdleLink, IdleLists};
+use super::idle_list::{ConnectionUse, IdleLink, IdleListPair, IdleLists};
 use super::TimerEvent;
 use crate::core::{ConnId, MessageId, ReplyTo};
 use crate::deadlines::Deadlines;
@@ -88,20 +88,20 @@
         timers: &mut Deadlines<TimerEvent>,
     ) {
         let Some(edge) = self.get(conn) else { return };
-        if received_message && !edge.has_sent_message {
-            // The connection moves to the other idle list, and its idle time starts anew.
+        if received_message && !edge.has_sent_message() {
+            // The connection moves to another idle list, and its idle time starts anew.
             let was_idle = self.leave_idle_list(conn);
             let Some(edge) = self.get(conn) else { return };
-            (edge.has_sent_message, edge.idle_since) = (true, now);
+            (edge.usage, edge.idle_since) = (ConnectionUse::Unserved, now);
             if was_idle {
                 self.join_idle_list(conn);
             }
         }
         let later_message_timeout = self.later_message_timeout.max(FIRST_MESSAGE_TIMEOUT);
         let Some(edge) = self.get(conn) else { return };
-        let timeout = if edge.has_sent_message { later_message_timeout } else { FIRST_MESSAGE_TIMEOUT };
+        let timeout = if edge.has_sent_message() { later_message_timeout } else { FIRST_MESSAGE_TIMEOUT };
         let message_due = match edge.connection.input.is_empty() {
-            true if edge.has_sent_message => None,
+            true if edge.has_sent_message() => None,
             false if received_message || edge.message_due.is_none() => Some(now + timeout),
             _ => edge.message_due,
         };
@@ -114,25 +114,35 @@
         }
     }
 
-    /// The connection that has been idle for longest. Connections that have never sent a complete message come first,
-    /// except new ones, then those whose peers have not reacted to being asked to close.
-    pub(super) fn longest_idle(&self, now: Duration) -> Option<ConnId> {
-        let idle_since =
-            |conn: &ConnId| self.connections.get(Slot(conn.0)).map_or(now, |edge| edge.idle_since);
-        let is_unresponsive = |conn: &ConnId| {
-            let state = self.connections.get(Slot(conn.0)).map(|edge| edge.state);
-            matches!(state, Some(ConnectionState::Closing { asked_at }) if now >= asked_at + REACTION_TIMEOUT)
-        };
-        let without_message =
-            self.idle.without_message.first.filter(|conn| now >= idle_since(conn) + NEW_CONNECTION_GRACE);
-        let unresponsive = self.idle.closing.first.filter(is_unresponsive);
-        without_message.or(unresponsive).or(self.idle.with_message.first).or(self.idle.closing.first)
+    /// The connection that goes first when a new one needs its place.
+    ///
+    /// A request may be under way on any connection that has sent messages, and may be held up by the network, so
+    /// neither an idle connection nor one that has not reacted to being asked to close is known to be unused. Therefore a
+    /// connection that has never sent a message goes first. While the only ones of that kind are new, nothing is
+    /// returned: the connection that needs a place waits until they have had the time to send something.
+    /// Next are connections of which no request was served, and last those that were served; of each the one that has
+    /// been idle for longest.
+    pub(super) fn next_to_make_room(&self, now: Duration) -> Option<ConnId> {
+        if let Some(silent) = self.longest_idle(&self.idle.silent) {
+            return Some(silent.conn).filter(|_| now >= silent.since + NEW_CONNECTION_GRACE);
+        }
+        let used = self.longest_idle(&self.idle.unserved).or_else(|| self.longest_idle(&self.idle.served));
+        used.map(|idle| idle.conn)
+    }
+
+    fn longest_idle(&self, lists: &IdleListPair) -> Option<IdleConnection> {
+        self.first_idle([lists.open.first, lists.closing.first])
     }
 
     /// The connection that has been idle for longest among those whose peers were not asked to close.
     fn first_to_time_out(&self) -> Option<IdleConnection> {
-        let firsts = [self.idle.without_message.first, self.idle.with_message.first].into_iter().flatten();
-        let idle = firsts.filter_map(|conn| {
+        let idle = &self.idle;
+        self.first_idle([idle.silent.open.first, idle.unserved.open.first, idle.served.open.first])
+    }
+
+    /// Returns the one that has been idle for longest.
+    fn first_idle<const N: usize>(&self, candidates: [Option<ConnId>; N]) -> Option<IdleConnection> {
+        let idle = candidates.into_iter().flatten().filter_map(|conn| {
             let edge = self.connections.get(Slot(conn.0))?;
             Some(IdleConnection { since: edge.idle_since, conn })
         });
@@ -141,7 +151,7 @@
 
     fn join_idle_list(&mut self, conn: ConnId) {
         let Some(edge) = self.connections.get_mut(Slot(conn.0)) else { return };
-        let list = self.idle.list(edge.idle_kind());
+        let list = self.idle.list(edge.usage, edge.is_closing());
         let previous = list.last.replace(conn);
         edge.idle_link = Some(IdleLink { previous, next: None });
         match previous {
@@ -154,7 +164,7 @@
     fn leave_idle_list(&mut self, conn: ConnId) -> bool {
         let Some(edge) = self.connections.get_mut(Slot(conn.0)) else { return false };
         let Some(IdleLink { previous, next }) = edge.idle_link.take() else { return false };
-        let list = self.idle.list(edge.idle_kind());
+        let list = self.idle.list(edge.usage, edge.is_closing());
         if previous.is_none() {
             list.first = next;
         }
@@ -255,6 +265,14 @@
         }
     }
 
+    /// Records that an open call is about to be answered with a result.
+    pub(super) fn mark_served(&mut self, reply_to: ReplyTo) {
+        let open = |edge: &&mut EdgeConnection| edge.open_calls.contains(&reply_to.call);
+        if let Some(edge) = self.get(reply_to.conn).filter(open) {
+            edge.usage = ConnectionUse::Served;
+        }
+    }
+
     /// Records the configuration version by which an open call is decided.
     pub(super) fn set_decided_by(&mut self, reply_to: ReplyTo, version: u64) {
         let open = |edge: &&mut EdgeConnection| edge.open_calls.contains(&reply_to.call);
--- a/crates/aldercrank-server/src/net/idle_list.rs
+++ b/crates/aldercrank-server/src/net/idle_list.rs
@@ -19,32 +19,46 @@
     pub(super) last: Option<ConnId>,
 }
 
-/// Which list an idle connection belongs to.
+/// What a connection has been used for so far.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum IdleKind {
+pub(super) enum ConnectionUse {
     /// It has never sent a complete message.
-    WithoutMessage,
-    /// It has sent a complete message.
-    WithMessage,
-    /// Its peer was asked to close.
-    Closing,
+    Silent,
+    /// It has sent a complete message, but no request of it was answered with a result.
+    Unserved,
+    /// A request of it was answered with a result.
+    Served,
+}
+
+/// The idle connections with the same use.
+#[derive(Debug, Default)]
+pub(super) struct IdleListPair {
+    /// Those whose peers were not asked to close.
+    pub(super) open: IdleList,
+    /// Those whose peers were asked to close.
+    pub(super) closing: IdleList,
 }
 
 /// The lists of idle connections.
 #[derive(Debug, Default)]
 pub(super) struct IdleLists {
-    pub(super) without_message: IdleList,
-    pub(super) with_message: IdleList,
-    pub(super) closing: IdleList,
+    pub(super) silent: IdleListPair,
+    pub(super) unserved: IdleListPair,
+    pub(super) served: IdleListPair,
 }
 
 impl IdleLists {
-    /// The list of this kind.
-    pub(super) fn list(&mut self, kind: IdleKind) -> &mut IdleList {
-        match kind {
-            IdleKind::WithoutMessage => &mut self.without_message,
-            IdleKind::WithMessage => &mut self.with_message,
-            IdleKind::Closing => &mut self.closing,
+    /// The list of the connections with this use whose peers were, or were not, asked to close.
+    pub(super) fn list(&mut self, usage: ConnectionUse, is_closing: bool) -> &mut IdleList {
+        let pair = match usage {
+            ConnectionUse::Silent => &mut self.silent,
+            ConnectionUse::Unserved => &mut self.unserved,
+            ConnectionUse::Served => &mut self.served,
+        };
+        if is_closing {
+            &mut pair.closing
+        } else {
+            &mut pair.open
         }
     }
 }
--- a/crates/aldercrank-server/tests/suite/edge_connections.rs
+++ b/crates/aldercrank-server/tests/suite/edge_connections.rs
@@ -1,7 +1,7 @@
 //! The program on loopback sockets: idle, silent and slow connections from edge nodes, and callers that disconnect.
 
 use crate::codecs::health_check_message;
-use crate::harness::{attempt, EdgeConnection, Program};
+use crate::harness::{attempt, EdgeConnection, PoolConnection, Program};
 use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
@@ -113,3 +113,66 @@
     // Answers of 40 MB in all were written in part; growth by a tenth of that would be a leak.
     assert!(after[1] <= before[1] + 4_000, "{before:?} {after:?}");
 }
+
+/// The harness's limit of 64 descriptors leaves places for 30 connections.
+const MORE_THAN_THE_CONNECTION_LIMIT: usize = 40;
+
+/// Connects and has one request served.
+fn connect_and_be_served(program: &Program, pool: &mut PoolConnection, number: u32) -> EdgeConnection {
+    let mut edge = program.connect();
+    edge.send_request(1, "map", &attempt(number), None, b"");
+    pool.complete_next_run(number, number, b"first");
+    edge.read_until(&[b"first"]);
+    edge
+}
+
+/// Sends a second request on a connection that was served one, and expects its result.
+fn expect_served_again(edge: &mut EdgeConnection, pool: &mut PoolConnection, number: u32) {
+    edge.send_request(2, "map", &attempt(number), None, b"");
+    pool.complete_next_run(number, number, b"second");
+    edge.read_until(&[b"second"]);
+}
+
+/// Requests of a zone that was cut off were lost when silent clients connected in a burst: none of these had been
+/// connected for long enough to be closed, so used connections were closed for them.
+#[test]
+fn a_burst_of_silent_connections_closes_none_that_was_served() {
+    // At once, and once the peers were asked to close and have not reacted for longer than they usually take.
+    for silence in [Duration::ZERO, Duration::from_millis(1700)] {
+        let mut program = Program::start(|_| None);
+        let mut pool = program.wait_until_serving();
+        let mut served: Vec<EdgeConnection> =
+            (1..=8).map(|n| connect_and_be_served(&program, &mut pool, n)).collect();
+        std::thread::sleep(silence);
+        program.pause();
+        let silent: Vec<EdgeConnection> =
+            (0..MORE_THAN_THE_CONNECTION_LIMIT).map(|_| program.connect()).collect();
+        program.resume();
+        // The last of them is closed after all the others have been accepted.
+        silent.into_iter().for_each(|mut edge| drop(edge.read_to_end()));
+        for (edge, number) in served.iter_mut().zip(9..) {
+            expect_served_again(edge, &mut pool, number);
+        }
+    }
+}
+
+/// Connections that were served were closed for clients that had sent one message and kept their connections.
+#[test]
+fn connections_that_were_never_served_make_room_before_those_that_were() {
+    let mut program = Program::start(|_| None);
+    let mut pool = program.wait_until_serving();
+    let mut served: Vec<EdgeConnection> =
+        (1..=8).map(|n| connect_and_be_served(&program, &mut pool, n)).collect();
+    let unserved: Vec<EdgeConnection> = (0..MORE_THAN_THE_CONNECTION_LIMIT)
+        .map(|_| {
+            let mut edge = program.connect();
+            edge.0.write_all(&health_check_message(1)).unwrap();
+            edge.read_until(&[&[0x94, 1, 1]]);
+            edge
+        })
+        .collect();
+    for (edge, number) in served.iter_mut().zip(9..) {
+        expect_served_again(edge, &mut pool, number);
+    }
+    drop(unserved);
+}
