A read that is given up in the queue no longer extends how long an earlier result is shared

Cause: an entry has one expiry for the request that ran and for the latest one. Storing a later read moved it; forgetting that read, when it was rejected in the queue, left it there.

Change: the entry remembers the expiry for the request that ran, and goes back to it. Keyed entries keep the later time, which lets nothing run twice.

--- a/crates/aldercrank-server/src/dedup.rs
+++ b/crates/aldercrank-server/src/dedup.rs
@@ -70,12 +70,19 @@
     pub replaced: Option<RequestId>,
 }
 
+/// A request whose run was started.
+struct ExecutedRequest {
+    id: RequestId,
+    /// When its entry expires if there is no later request.
+    expires_at: Duration,
+}
+
 struct Entry {
     key: DedupKey,
     /// The latest request with this key.
     latest: RequestId,
     /// The request whose run was started last, unless that run proved not to have started.
-    executed: Option<RequestId>,
+    executed: Option<ExecutedRequest>,
     /// The outcome of that run.
     outcome: CachedOutcome,
     /// Its result's key in `DedupTable::results`; the lowest number is evicted first.
@@ -83,6 +90,12 @@
     expires_at: Duration,
 }
 
+impl Entry {
+    fn executed_id(&self) -> Option<RequestId> {
+        self.executed.as_ref().map(|executed| executed.id)
+    }
+}
+
 /// Deduplication entries by key, with a bound on the bytes of cached results.
 pub struct DedupTable {
     entries: Slots<Entry>,
@@ -126,7 +139,7 @@
             return None;
         }
         let expired = now > entry.expires_at;
-        Some(entry.executed.filter(|_| expired).unwrap_or(entry.latest))
+        Some(entry.executed_id().filter(|_| expired).unwrap_or(entry.latest))
     }
 
     /// Adds an entry for a request, or makes it the latest request of the existing entry and extends that entry.
@@ -135,7 +148,7 @@
         if let Some(entry) = self.entry(key) {
             let previous = std::mem::replace(&mut entry.latest, request);
             entry.expires_at = entry.expires_at.max(expires_at);
-            let still_referenced = entry.executed == Some(previous) || previous == request;
+            let still_referenced = entry.executed_id() == Some(previous) || previous == request;
             let replaced = Some(previous).filter(|_| !still_referenced);
             return Some(StoredEntry { entry: self.ids[key], replaced });
         }
@@ -169,16 +182,18 @@
 
     /// Whether the key's entry refers to this request.
     pub fn refers_to(&mut self, key: &DedupKey, request: RequestId) -> bool {
-        self.entry(key).is_some_and(|entry| entry.latest == request || entry.executed == Some(request))
+        self.entry(key).is_some_and(|entry| entry.latest == request || entry.executed_id() == Some(request))
     }
 
     /// Removes the entry of a request that has not run. If another request with this key ran, the entry is kept for
-    /// that one.
+    /// that one. That of a read then expires when it would have without the forgotten one, so that no result is shared
+    /// for longer; that of a keyed request keeps the later time, since a longer window lets nothing run twice.
     pub fn forget(&mut self, key: &DedupKey, request: RequestId) {
         let Some(entry) = self.entry(key).filter(|entry| entry.latest == request) else { return };
-        match entry.executed {
-            Some(executed) => entry.latest = executed,
-            None => self.remove(self.ids[key]),
+        let Some(executed) = &entry.executed else { return self.remove(self.ids[key]) };
+        entry.latest = executed.id;
+        if matches!(key, DedupKey::Subject(_)) {
+            entry.expires_at = executed.expires_at;
         }
     }
 
@@ -189,12 +204,16 @@
         self.drop_result(id);
         let entry = self.entry(key).filter(|entry| entry.latest == request)?;
         entry.outcome = CachedOutcome::Pending;
-        entry.executed.replace(request).filter(|previous| *previous != request)
+        let executed = ExecutedRequest { id: request, expires_at: entry.expires_at };
+        let previous = entry.executed.replace(executed)?.id;
+        Some(previous).filter(|previous| *previous != request)
     }
 
     /// Records that the run did not start after all, so that the next attempt may run.
     pub fn run_never_started(&mut self, key: &DedupKey, request: RequestId) {
-        let Some(entry) = self.entry(key).filter(|entry| entry.executed == Some(request)) else { return };
+        let Some(entry) = self.entry(key).filter(|entry| entry.executed_id() == Some(request)) else {
+            return;
+        };
         entry.executed = None;
         if entry.latest == request {
             self.remove(self.ids[key]);
@@ -205,7 +224,9 @@
     /// exceed their capacity.
     pub fn run_ended(&mut self, key: &DedupKey, request: RequestId, result: Option<Payload>) {
         let number = self.next_result_number;
-        let Some(entry) = self.entry(key).filter(|entry| entry.executed == Some(request)) else { return };
+        let Some(entry) = self.entry(key).filter(|entry| entry.executed_id() == Some(request)) else {
+            return;
+        };
         entry.outcome =
             result.map_or(CachedOutcome::Unavailable, |result| CachedOutcome::Completed(result.keep()));
         entry.result_number = number;
@@ -256,7 +277,7 @@
     /// Removes an expired entry. Returns the requests that it referred to.
     pub fn expire(&mut self, id: EntryId) -> Vec<RequestId> {
         let entry = self.entries.get(Slot(id.0));
-        let requests = entry.map(|entry| entry.executed.into_iter().chain([entry.latest]).collect());
+        let requests = entry.map(|entry| entry.executed_id().into_iter().chain([entry.latest]).collect());
         let requests = requests.unwrap_or_default();
         self.remove(id);
         requests
--- a/crates/aldercrank-server/tests/suite/shared_reads.rs
+++ b/crates/aldercrank-server/tests/suite/shared_reads.rs
@@ -1,19 +1,28 @@
 //! Reads that share the result of another read of their subject, over real connections.
 
-use crate::codecs::request_message;
+use crate::codecs::{cancellation_message, request_message};
 use crate::harness::{attempt, unix_time_ms, EdgeConnection, PoolConnection, Program};
 use std::io::Write;
+use std::time::Duration;
 
 /// How long results are shared, in microseconds: longer than a test.
 const SHARED_FOR_US: u64 = 60_000_000;
 const SUBJECT: &str = "track-1";
 
+/// Room for one run, which takes 98 KB, and for some reads that wait.
+const MEMORY_OF_ONE_RUN_KB: f64 = 200.0;
+
 /// An error response: neither a result nor a rejection.
 const FAILED: &[u8] = b"Internal";
 
 fn start() -> Program {
+    start_with(SHARED_FOR_US, 9000.0)
+}
+
+fn start_with(shared_for_us: u64, memory_kb: f64) -> Program {
     Program::start_with(Some(|_: &str| None), |config| {
-        config["settings"]["family_info"]["fresh_for"] = SHARED_FOR_US.into();
+        config["settings"]["family_info"]["fresh_for"] = shared_for_us.into();
+        config["settings"]["family_info"]["memory_kb"] = memory_kb.into();
     })
 }
 
@@ -103,3 +112,30 @@
     send_read(&mut edge, 3, &attempt(3), SUBJECT);
     edge.read_until(&[b"second"]);
 }
+
+/// A later read that was queued and then given up made an earlier result be shared until the later read's time.
+#[test]
+fn a_read_that_is_given_up_in_the_queue_does_not_extend_how_long_an_earlier_result_is_shared() {
+    let shared_for = Duration::from_millis(300);
+    let mut program = start_with(shared_for.as_micros() as u64, MEMORY_OF_ONE_RUN_KB);
+    let mut pool = program.wait_until_serving();
+    let mut edge = program.connect();
+    send_read(&mut edge, 1, &attempt(1), "track-0");
+    pool.complete_next_run(1, 1, b"zeroth");
+    edge.read_until(&[b"zeroth"]);
+    send_read(&mut edge, 2, &attempt(2), SUBJECT);
+    pool.complete_next_run(2, 2, b"first");
+    edge.read_until(&[b"first"]);
+    std::thread::sleep(shared_for + Duration::from_millis(50));
+    // A second run has no room, so the next read of the subject is queued until its caller gives it up.
+    send_read(&mut edge, 3, &attempt(3), "track-2");
+    assert_eq!(pool.next_command().0[1], attempt(3));
+    send_read(&mut edge, 4, &attempt(4), SUBJECT);
+    edge.0.write_all(&cancellation_message(4)).unwrap();
+    edge.read_until(&[FAILED]);
+    send_read(&mut edge, 5, &attempt(5), SUBJECT);
+    pool.finish(3, &attempt(3), b"other");
+    pool.complete_next_run(4, 5, b"second");
+    let answers = edge.read_until(&[b"second"]);
+    assert!(!answers.windows(5).any(|bytes| bytes == b"first"), "an old result was shared");
+}
--- a/crates/aldercrank-server/tests/suite/tables.rs
+++ b/crates/aldercrank-server/tests/suite/tables.rs
@@ -67,6 +67,38 @@
     assert_eq!(table.find_original(&subject, S, S), None);
 }
 
+/// Reads were served with results that were older than the settings allow, after a later read had been given up.
+#[test]
+fn a_forgotten_read_leaves_the_expiry_of_an_earlier_result_as_it_was() {
+    let (first, second, third) = (RequestId(1), RequestId(2), RequestId(3));
+    let key = DedupKey::subject("p", "s");
+    let mut table = DedupTable::new(10);
+    table.store(&key, first, S).unwrap();
+    table.run_started(&key, first);
+    table.run_ended(&key, first, Some(Payload::Transient(b"1")));
+    assert_eq!(
+        (table.find_original(&key, S, S), table.find_original(&key, S * 2, S * 2)),
+        (Some(first), None)
+    );
+    // While a later read waits, others wait with it. Nothing is left of it once it is given up.
+    let entry = table.store(&key, second, S * 3).unwrap().entry;
+    assert_eq!(table.find_original(&key, S * 2, S * 2), Some(second));
+    table.forget(&key, second);
+    assert_eq!(
+        (table.find_original(&key, S, S * 2), table.find_original(&key, S * 2, S * 2)),
+        (Some(first), None)
+    );
+    assert_eq!(table.removable_at(entry, S), Some(S * 2));
+    // A later read that runs is shared until its own time, also once a third one was given up.
+    table.store(&key, second, S * 3).unwrap();
+    table.run_started(&key, second);
+    table.run_ended(&key, second, Some(Payload::Transient(b"2")));
+    table.store(&key, third, S * 9).unwrap();
+    table.forget(&key, third);
+    let originals = [S * 3, S * 4].map(|time| table.find_original(&key, time, time));
+    assert_eq!(originals, [Some(second), None]);
+}
+
 /// A repeat of a request that ran was rejected, as if it had never run, while the table was full.
 #[test]
 fn a_full_table_of_deduplication_entries_has_room_for_repeats_only() {
