Whether a result is fresh for a read goes by this server's clock, not by the read's t0

The age of a read was what it reports, up to the longest deadline; so a read that says it was sent 3 s ago was served a result that was fresh then. WIRE counts to when a repeat 'reaches the machine'; so only the time that it can have waited unread by this server's clock counts now. Keyed repeats are as before.

The new test in shared_reads fails without the change (no start command: the old result was shared).

--- a/crates/aldercrank-server/src/core/receive.rs
+++ b/crates/aldercrank-server/src/core/receive.rs
@@ -66,7 +66,6 @@
         // up, or its clock is wrong. Deduplication windows use the reported age. The time unread, by which slow reading
         // is detected, is also limited by this server's own clock.
         let reported_age = received.arrival.unread_time.min(state.longest_deadline);
-        let arrived_at = now.saturating_sub(reported_age);
         let unread_time = reported_age.min(received.max_unread_time);
         let may_share = |key: &DedupKey| state.confirmed_connections.may_share(reply_to.conn, key);
         let dedup_key = received.dedup_key.filter(may_share);
@@ -74,7 +73,14 @@
             tracing::error!("request rejected: the deduplication table is full");
             return state.ports.reject(reply_to, None, false);
         }
-        let repeats = dedup_key.and_then(|key| state.dedup.find_original(&key, arrived_at, now));
+        let repeats = dedup_key.and_then(|key| {
+            // A result is shared as long as it is fresh, whatever age the caller reports.
+            let age = match key {
+                DedupKey::Token(_) => reported_age,
+                DedupKey::Subject(_) => unread_time,
+            };
+            state.dedup.find_original(&key, now.saturating_sub(age), now)
+        });
         let request = Request {
             attempt: received.attempt,
             reply_to: Some(reply_to),
--- a/crates/aldercrank-server/tests/suite/harness.rs
+++ b/crates/aldercrank-server/tests/suite/harness.rs
@@ -406,13 +406,13 @@
 }
 
 /// Returns the Unix time in milliseconds, as fields of requests have it.
-pub fn unix_time_ms() -> String {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis().to_string()
+pub fn unix_time_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
 }
 
 /// Encodes a request that arrives now, as an edge node does.
 pub fn request(id: u32, class: &str, attempt: &str, token: Option<&str>, body: &[u8]) -> Vec<u8> {
-    let t0 = unix_time_ms();
+    let t0 = unix_time_ms().to_string();
     let mut fields = vec![("rid", attempt), ("t0", &t0), ("peer", "4"), ("budget", "3000"), ("mem", "24.5")];
     fields.push(("prio", "0.9"));
     fields.extend(token.map(|t| ("token", t)));
--- a/crates/aldercrank-server/tests/suite/shared_reads.rs
+++ b/crates/aldercrank-server/tests/suite/shared_reads.rs
@@ -12,6 +12,9 @@
 /// Room for one run, which takes 98 KB, and for some reads that wait.
 const MEMORY_OF_ONE_RUN_KB: f64 = 200.0;
 
+/// How long the callers of reads wait from now on.
+const TIME_LEFT: Duration = Duration::from_millis(3000);
+
 /// An error response: neither a result nor a rejection.
 const FAILED: &[u8] = b"Internal";
 
@@ -27,12 +30,18 @@
 }
 
 fn send_read(edge: &mut EdgeConnection, id: u32, attempt: &str, subject: &str) {
-    let sent_at = unix_time_ms();
+    send_read_of_age(edge, id, attempt, subject, Duration::ZERO);
+}
+
+/// Sends a read that says it was sent `age` ago. Its caller waits as long from now on as that of any other.
+fn send_read_of_age(edge: &mut EdgeConnection, id: u32, attempt: &str, subject: &str, age: Duration) {
+    let sent_at = (unix_time_ms() - age.as_millis()).to_string();
+    let budget = (TIME_LEFT + age).as_millis().to_string();
     let fields = [
         ("rid", attempt),
         ("t0", &sent_at),
         ("peer", "4"),
-        ("budget", "3000"),
+        ("budget", &budget),
         ("mem", "24.5"),
         ("prio", "0.9"),
         ("obj", subject),
@@ -139,3 +148,26 @@
     let answers = edge.read_until(&[b"second"]);
     assert!(!answers.windows(5).any(|bytes| bytes == b"first"), "an old result was shared");
 }
+
+/// A read that reported an age was served what had been fresh at that time.
+#[test]
+fn a_read_that_says_it_was_sent_long_ago_is_not_served_what_was_fresh_then() {
+    let shared_for = Duration::from_millis(300);
+    let mut program = start_with(shared_for.as_micros() as u64, 9000.0);
+    let mut pool = program.wait_until_serving();
+    let mut edge = program.connect();
+    send_read(&mut edge, 1, &attempt(1), "track-0");
+    pool.complete_next_run(1, 1, b"zeroth");
+    edge.read_until(&[b"zeroth"]);
+    send_read(&mut edge, 2, &attempt(2), SUBJECT);
+    pool.complete_next_run(2, 2, b"first");
+    edge.read_until(&[b"first"]);
+    std::thread::sleep(shared_for * 2);
+    // The server reads this connection at once, so nothing has waited unread.
+    send_read(&mut edge, 3, &attempt(3), "track-2");
+    pool.complete_next_run(3, 3, b"other");
+    edge.read_until(&[b"other"]);
+    send_read_of_age(&mut edge, 4, &attempt(4), SUBJECT, shared_for * 2);
+    pool.complete_next_run(4, 4, b"second");
+    edge.read_until(&[b"second"]);
+}
