--- a/crates/aldercrank-server/src/core/receive.rs
+++ b/crates/aldercrank-server/src/core/receive.rs
@@ -11,6 +11,31 @@
 use std::ops::Bound;
 use std::time::Duration;
 
+/// How long ago a request was sent.
+struct RequestAge {
+    /// By its caller's account, up to the longest deadline: the caller of an older request has given up, or its clock is
+    /// wrong.
+    reported: Duration,
+    /// The part of that which it can have waited unread in this server, by this server's own clock.
+    unread: Duration,
+}
+
+impl RequestAge {
+    fn new(received: &ReceivedRequest, longest_deadline: Duration) -> RequestAge {
+        let reported = received.arrival.unread_time.min(longest_deadline);
+        RequestAge { reported, unread: reported.min(received.max_unread_time) }
+    }
+
+    /// The age by which repeats are recognised. The windows of keyed requests count from when they were sent; a result
+    /// is shared with reads as long as it is fresh, whatever their callers report.
+    fn for_dedup(&self, key: &DedupKey) -> Duration {
+        match key {
+            DedupKey::Token(_) => self.reported,
+            DedupKey::Subject(_) => self.unread,
+        }
+    }
+}
+
 impl<P: Ports> CoreState<P> {
     /// Returns the index of the request's class. Logs the reason and returns none if the request can't be run.
     fn class_of(&self, received: &ReceivedRequest) -> Option<usize> {
@@ -62,11 +87,7 @@
         let state = self.advance_to(now);
         let Some(class) = state.class_of(&received) else { return state.ports.fail(reply_to) };
         let effect = state.classes[class].effect;
-        // The age that the caller reports is limited to the longest deadline: the caller of an older request has given
-        // up, or its clock is wrong. Deduplication windows use the reported age. The time unread, by which slow reading
-        // is detected, is also limited by this server's own clock.
-        let reported_age = received.arrival.unread_time.min(state.longest_deadline);
-        let unread_time = reported_age.min(received.max_unread_time);
+        let age = RequestAge::new(&received, state.longest_deadline);
         let may_share = |key: &DedupKey| state.confirmed_connections.may_share(reply_to.conn, key);
         let dedup_key = received.dedup_key.filter(may_share);
         if dedup_key.is_some_and(|key| !state.dedup.has_room_for(&key)) {
@@ -74,12 +95,8 @@
             return state.ports.reject(reply_to, None, false);
         }
         let repeats = dedup_key.and_then(|key| {
-            // A result is shared as long as it is fresh, whatever age the caller reports.
-            let age = match key {
-                DedupKey::Token(_) => reported_age,
-                DedupKey::Subject(_) => unread_time,
-            };
-            state.dedup.find_original(&key, now.saturating_sub(age), now)
+            let arrived_at = now.saturating_sub(age.for_dedup(&key));
+            state.dedup.find_original(&key, arrived_at, now)
         });
         let request = Request {
             attempt: received.attempt,
@@ -112,7 +129,7 @@
             state.ports.decided_by_version(reply_to, version);
         }
         state.replies_owed.insert(reply_to, id);
-        let incoming = IncomingRequest { repeats, unread_time, ..received.arrival };
+        let incoming = IncomingRequest { repeats, unread_time: age.unread, ..received.arrival };
         self.admission.request_received(now, id, &incoming);
         self.notify_ended();
     }
