A keyed request whose run never began leaves no deduplication entry and no timer

Cause: the module kept the entry of a started request for its window, also once the pool had proved that nothing ran; the timers of removed entries stayed until they were due, in core and module.

Change: Admission::run_never_started takes the entry back; removed entries take their timers with them. Entries of runs that began, or may have, are as before.

--- a/crates/aldercrank-server/src/core/host.rs
+++ b/crates/aldercrank-server/src/core/host.rs
@@ -67,7 +67,8 @@
 
     fn forget(&mut self, id: RequestId) {
         if let Some(dedup_key) = self.request(id).and_then(|request| request.dedup_key) {
-            self.dedup.forget(&dedup_key, id);
+            let removed = self.dedup.forget(&dedup_key, id);
+            self.cancel_entry_timer(removed);
             self.release_slot(id);
         }
     }
--- a/crates/aldercrank-server/src/core/mod.rs
+++ b/crates/aldercrank-server/src/core/mod.rs
@@ -113,6 +113,11 @@
                         _ => self.end_join(id, None),
                     }
                 }
+                Stage::Running if outcome == Outcome::NeverStarted => {
+                    state.run_never_started(id);
+                    state.finish(id);
+                    self.admission.run_never_started(now, id);
+                }
                 Stage::Running => {
                     state.finish(id);
                     self.admission.run_ended(now, id, outcome, Duration::ZERO);
--- a/crates/aldercrank-server/src/core/ports.rs
+++ b/crates/aldercrank-server/src/core/ports.rs
@@ -70,6 +70,8 @@
     fn set_load_hint(&mut self, value: f64);
     /// Sets a timer; `Core::timer_fired` is called once it is due.
     fn set_timer(&mut self, timer: TimerId, after: Duration);
+    /// Cancels a timer, if it is set.
+    fn cancel_timer(&mut self, timer: TimerId);
 }
 
 /// A complete request as it was read from an edge node.
--- a/crates/aldercrank-server/src/core/runs.rs
+++ b/crates/aldercrank-server/src/core/runs.rs
@@ -44,18 +44,21 @@
         if request.call_started_at.take().is_some() {
             state.ports.cancel_call(id);
         }
-        if let Some(dedup_key) = dedup_key {
-            if outcome.provably_not_run() {
-                state.dedup.run_never_started(&dedup_key, id);
-            } else {
-                state.dedup.run_ended(&dedup_key, id, completed);
-            }
+        let never_started = outcome.provably_not_run();
+        if never_started {
+            state.run_never_started(id);
+        } else if let Some(dedup_key) = dedup_key {
+            state.dedup.run_ended(&dedup_key, id, completed);
         }
         state.finish(id);
         if let (Outcome::Completed, Some(tracker)) = (outcome, &mut self.slow_start) {
             tracker.run_completed(class, run_time);
         }
-        self.admission.run_ended(now, id, outcome, run_time);
+        if never_started {
+            self.admission.run_never_started(now, id);
+        } else {
+            self.admission.run_ended(now, id, outcome, run_time);
+        }
         waiters.into_iter().for_each(|waiter| self.end_join(waiter, completed));
         self.notify_ended();
     }
--- a/crates/aldercrank-server/src/core/state.rs
+++ b/crates/aldercrank-server/src/core/state.rs
@@ -141,6 +141,21 @@
         self.dedup.removable_at(entry, margin)
     }
 
+    /// Cancels the timer of a deduplication entry that was removed before it expired.
+    pub(super) fn cancel_entry_timer(&mut self, removed: Option<EntryId>) {
+        if let Some(entry) = removed {
+            self.ports.cancel_timer(TimerId::DedupExpiry(entry));
+        }
+    }
+
+    /// Records the proof that a run never started: no repeat is answered from it.
+    pub(super) fn run_never_started(&mut self, id: RequestId) {
+        if let Some(dedup_key) = self.request(id).and_then(|request| request.dedup_key) {
+            let removed = self.dedup.run_never_started(&dedup_key, id);
+            self.cancel_entry_timer(removed);
+        }
+    }
+
     /// Whether upstream calls may be made: under a quota, only while it is positive and the lease is full.
     pub(super) fn may_call(&self) -> bool {
         self.upstream_quota.is_none_or(|quota| quota > 0.0 && self.lease.is_full())
--- a/crates/aldercrank-server/src/deadlines.rs
+++ b/crates/aldercrank-server/src/deadlines.rs
@@ -44,6 +44,16 @@
         self.by_time.first().map(|((at, _), _)| at)
     }
 
+    /// Returns the number of keys with a deadline.
+    pub fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    /// Whether no key has a deadline.
+    pub fn is_empty(&self) -> bool {
+        self.by_key.is_empty()
+    }
+
     /// Removes the earliest deadline if it has been reached, and returns its key.
     pub fn pop_due(&mut self, now: Duration) -> Option<K> {
         let ((_, key), _) = self.by_time.first().filter(|((at, _), _)| *at <= now)?;
--- a/crates/aldercrank-server/src/dedup.rs
+++ b/crates/aldercrank-server/src/dedup.rs
@@ -188,13 +188,15 @@
     /// Removes the entry of a request that has not run. If another request with this key ran, the entry is kept for
     /// that one. That of a read then expires when it would have without the forgotten one, so that no result is shared
     /// for longer; that of a keyed request keeps the later time, since a longer window lets nothing run twice.
-    pub fn forget(&mut self, key: &DedupKey, request: RequestId) {
-        let Some(entry) = self.entry(key).filter(|entry| entry.latest == request) else { return };
-        let Some(executed) = &entry.executed else { return self.remove(self.ids[key]) };
+    /// Returns the entry if it was removed.
+    pub fn forget(&mut self, key: &DedupKey, request: RequestId) -> Option<EntryId> {
+        let entry = self.entry(key).filter(|entry| entry.latest == request)?;
+        let Some(executed) = &entry.executed else { return Some(self.remove_key(key)) };
         entry.latest = executed.id;
         if matches!(key, DedupKey::Subject(_)) {
             entry.expires_at = executed.expires_at;
         }
+        None
     }
 
     /// Records that a request starts to run, and drops the result of an earlier run. Returns the request that ran
@@ -209,15 +211,15 @@
         Some(previous).filter(|previous| *previous != request)
     }
 
-    /// Records that the run did not start after all, so that the next attempt may run.
-    pub fn run_never_started(&mut self, key: &DedupKey, request: RequestId) {
-        let Some(entry) = self.entry(key).filter(|entry| entry.executed_id() == Some(request)) else {
-            return;
-        };
+    /// Records that the run did not start after all, so that the next attempt may run. Returns the entry if it was
+    /// removed.
+    pub fn run_never_started(&mut self, key: &DedupKey, request: RequestId) -> Option<EntryId> {
+        let entry = self.entry(key).filter(|entry| entry.executed_id() == Some(request))?;
         entry.executed = None;
-        if entry.latest == request {
-            self.remove(self.ids[key]);
+        if entry.latest != request {
+            return None;
         }
+        Some(self.remove_key(key))
     }
 
     /// Records that the run ended, with a result if it completed. Evicts the oldest results while the cached results
@@ -257,6 +259,12 @@
         }
     }
 
+    fn remove_key(&mut self, key: &DedupKey) -> EntryId {
+        let id = self.ids[key];
+        self.remove(id);
+        id
+    }
+
     fn remove(&mut self, id: EntryId) {
         self.drop_result(id);
         if let Some(entry) = self.entries.remove(Slot(id.0)) {
--- a/crates/aldercrank-server/src/net/core_ports.rs
+++ b/crates/aldercrank-server/src/net/core_ports.rs
@@ -77,4 +77,7 @@
         let due = net.clock.now() + after;
         net.timers.set(TimerEvent::Core(timer), due);
     }
+    fn cancel_timer(&mut self, timer: TimerId) {
+        self.0.borrow_mut().timers.remove(TimerEvent::Core(timer));
+    }
 }
--- a/crates/aldercrank-server/tests/suite/core/abandoned_requests.rs
+++ b/crates/aldercrank-server/tests/suite/core/abandoned_requests.rs
@@ -28,6 +28,7 @@
     fn close_idle(&mut self, _: Duration) {}
     fn set_load_hint(&mut self, _: f64) {}
     fn set_timer(&mut self, _: TimerId, _: Duration) {}
+    fn cancel_timer(&mut self, _: TimerId) {}
 }
 
 fn receive(core: &mut Core<NoPorts>, now: Duration, attempt: AttemptId, reply_to: ReplyTo) {
--- a/crates/aldercrank-server/tests/suite/core/world.rs
+++ b/crates/aldercrank-server/tests/suite/core/world.rs
@@ -230,4 +230,7 @@
         let at = world.now + after;
         world.timers.set(timer, at);
     }
+    fn cancel_timer(&mut self, timer: TimerId) {
+        self.0.borrow_mut().timers.remove(timer);
+    }
 }
--- a/crates/aldercrank-server/tests/suite/main.rs
+++ b/crates/aldercrank-server/tests/suite/main.rs
@@ -27,6 +27,7 @@
 mod shared_reads;
 mod state_file;
 mod tables;
+mod unknown_requests;
 mod version_polling;
 mod worker_pool_link;
 
--- a/crates/aldercrank-testbench/src/soak_check.rs
+++ b/crates/aldercrank-testbench/src/soak_check.rs
@@ -75,6 +75,9 @@
         let at = server.now + after;
         server.timers.set(what, at);
     }
+    fn cancel_timer(&mut self, what: TimerId) {
+        self.0.borrow_mut().timers.remove(what);
+    }
 }
 
 fn settings() -> Settings {
--- a/src/admission/rejection.rs
+++ b/src/admission/rejection.rs
@@ -9,7 +9,7 @@
 use super::Admission;
 use crate::host::Host;
 use crate::queue::QueuePosition;
-use crate::request::Stage;
+use crate::request::{Stage, Timer};
 use crate::types::{Effect, RequestId};
 use std::time::Duration;
 
@@ -116,9 +116,15 @@
     fn remove_unstarted(&mut self, id: RequestId) {
         if let Some(request) = self.remove(id) {
             self.queue.remove(QueuePosition { due_at: request.due_at, request_id: id });
-            if self.dedup.remove(id) {
-                self.host.forget(id);
-            }
+            self.forget(id);
+        }
+    }
+
+    /// Removes the deduplication entry of a request that has not run, and its timer.
+    pub(super) fn forget(&mut self, id: RequestId) {
+        if let Some(ends_at) = self.dedup.remove(id) {
+            self.timers.remove(&Timer::dedup_entry(id, ends_at));
+            self.host.forget(id);
         }
     }
 }
--- a/src/admission/runs.rs
+++ b/src/admission/runs.rs
@@ -27,6 +27,13 @@
         self.start_calls(now);
     }
 
+    /// Handles the proof that the run of a request never started, although it was told to. Nothing ran, so the request
+    /// needs no deduplication entry: its next attempt may run.
+    pub fn run_never_started(&mut self, now: Duration, id: RequestId) {
+        self.forget(id);
+        self.run_ended(now, id, Outcome::NeverStarted, Duration::ZERO);
+    }
+
     /// Updates the run time statistics with a completed run. A very slow run cuts the window immediately.
     fn record_run(&mut self, now: Duration, request: &Request, took: Duration) {
         let ran = took.saturating_sub(request.call_time).as_secs_f64();
--- a/src/dedup.rs
+++ b/src/dedup.rs
@@ -90,11 +90,11 @@
         self.entries.insert(id, DedupEntry { ends_at, active: false, class, replaced_by });
     }
 
-    /// Removes the entry of this request. Returns whether there was one.
-    pub(crate) fn remove(&mut self, id: RequestId) -> bool {
-        let entry = self.entries.remove(&id);
-        self.active_count -= usize::from(entry.as_ref().is_some_and(|entry| entry.active));
-        entry.is_some()
+    /// Removes the entry of this request. Returns when it would have ended, if there was one.
+    pub(crate) fn remove(&mut self, id: RequestId) -> Option<Duration> {
+        let entry = self.entries.remove(&id)?;
+        self.active_count -= usize::from(entry.active);
+        Some(entry.ends_at)
     }
 
     /// Handles the timer of an entry. An active entry becomes inactive and is kept for another `inactive_span`, which
