Requests that are read after their client has left are not sent on

Cause: that the peer's side has ended comes with the event that reports its input, and was used only to read on until the end; each request before it went to the core, and its start command was written with the turn's output.

Change: once the end is known, input is read and discarded, as on a connection that lingers.

Evidence: departed_clients::requests_that_are_read_after_their_client_has_left_do_not_run, with a suspended server: fails before with a close and with a reset (the pool gets the first of 31 requests), passes in 3 of 3 runs now.

--- a/crates/aldercrank-server/src/net/edge_requests.rs
+++ b/crates/aldercrank-server/src/net/edge_requests.rs
@@ -290,8 +290,9 @@
                 // A read that doesn't fill the buffer has emptied the socket. Once the peer has closed, a further read
                 // is needed to report the close.
                 let may_have_more = length == buffer.len() || peer_closed;
-                // Requests on a lingering connection could not be answered, so its input is discarded.
-                if !is_lingering {
+                // Requests on a lingering connection could not be answered, and nobody waits for those of a peer that
+                // has closed, so their input is discarded.
+                if !is_lingering && !peer_closed {
                     self.handle_edge_input(conn, &buffer[..length]);
                 }
                 if may_have_more {
--- a/crates/aldercrank-server/tests/suite/main.rs
+++ b/crates/aldercrank-server/tests/suite/main.rs
@@ -13,6 +13,7 @@
 mod core;
 mod crossings;
 mod delayed_input;
+mod departed_clients;
 mod edge_connections;
 mod edge_protocol;
 mod golden_command_line;
