--- a/crates/aldercrank-server/tests/suite/edge_connections.rs
+++ b/crates/aldercrank-server/tests/suite/edge_connections.rs
@@ -83,16 +83,9 @@
     let mut program = Program::start(|_| None);
     let pool = program.wait_until_serving();
     std::thread::spawn(move || pool.serve(&[7; 200_000]));
-    let usage = |what: &str, program: &Program| {
-        let proc = format!("/proc/{}", program.child.id());
-        match what {
-            "descriptors" => std::fs::read_dir(format!("{proc}/fd")).unwrap().count(),
-            _ => {
-                let status = std::fs::read_to_string(format!("{proc}/status")).unwrap();
-                let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
-                line.split_whitespace().next().unwrap().parse().unwrap()
-            }
-        }
+    let usage = || {
+        let descriptors = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).unwrap().count();
+        [descriptors as u64, program.resident_kb()]
     };
     let read_answer_in_part = |n: u32| {
         let mut edge = program.connect();
@@ -101,14 +94,14 @@
         edge.read_until(&[&[0x94, 1, 1, 0xc0, 0x92, 0xc6]]);
     };
     (1..=20).for_each(read_answer_in_part);
-    let before = ["descriptors", "memory"].map(|what| usage(what, &program));
+    let before = usage();
     (21..=220).for_each(read_answer_in_part);
     let mut edge = program.connect();
     edge.send_request(1, "map", &attempt(1000), None, b"x");
     edge.read_until(&[&[7; 200_000]]);
     drop(edge);
     std::thread::sleep(Duration::from_millis(100));
-    let after = ["descriptors", "memory"].map(|what| usage(what, &program));
+    let after = usage();
     assert!(after[0] <= before[0] + 2, "{before:?} {after:?}");
     // Answers of 40 MB in all were written in part; growth by a tenth of that would be a leak.
     assert!(after[1] <= before[1] + 4_000, "{before:?} {after:?}");
--- a/crates/aldercrank-server/tests/suite/harness.rs
+++ b/crates/aldercrank-server/tests/suite/harness.rs
@@ -334,6 +334,13 @@
         line.trim().parse().unwrap()
     }
 
+    /// Returns the process's resident memory in KB.
+    pub fn resident_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        line.split_whitespace().next().unwrap().parse().unwrap()
+    }
+
     /// Binds the program's link to the pool, waits until it reports that it serves, and returns the link.
     pub fn wait_until_serving(&mut self) -> PoolConnection {
         let mut pool = PoolConnection::accept(&self.pool);
--- a/crates/aldercrank-server/tests/suite/main.rs
+++ b/crates/aldercrank-server/tests/suite/main.rs
@@ -27,6 +27,7 @@
 mod phase;
 mod repeated_attempts;
 mod shared_reads;
+mod slow_clients;
 mod state_file;
 mod tables;
 mod unknown_requests;
--- a/crates/aldercrank-server/tests/suite/unknown_requests.rs
+++ b/crates/aldercrank-server/tests/suite/unknown_requests.rs
@@ -23,6 +23,8 @@
     Over,
     /// Their caller takes them back at once; the pool does not know them.
     Cancelled,
+    /// The pool does not know them, and their caller leaves without reading an answer, each round anew.
+    CallerGone,
 }
 
 /// Completes the runs of other clients until the link is closed.
@@ -60,6 +62,9 @@
         }
     }
     edge.0.write_all(&messages).unwrap();
+    if not_run == NotRun::CallerGone {
+        return;
+    }
     let mut answers = Vec::new();
     while count_responses(&answers) < REQUESTS_PER_ROUND as usize {
         let mut chunk = [0; 4096];
@@ -69,17 +74,11 @@
     }
 }
 
-fn resident_kb(program: &Program) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", program.child.id())).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
-    line.split_whitespace().next().unwrap().parse().unwrap()
-}
-
 /// Each deduplication entry of such a request was kept for its whole window: a client that the worker pool does not know
 /// took a server out of service, or its memory, within a second.
 #[test]
 fn keyed_requests_that_never_run_leave_nothing_behind() {
-    for not_run in [NotRun::Unknown, NotRun::Over, NotRun::Cancelled] {
+    for not_run in [NotRun::Unknown, NotRun::Over, NotRun::Cancelled, NotRun::CallerGone] {
         // Where entries cost much, others are rejected; where they cost nothing, the process grows.
         for entry_kb in [20.0, 0.0] {
             let mut program = Program::start_with(Some(|_: &str| None), |config| {
@@ -89,15 +88,18 @@
             std::thread::spawn(move || serve(pool, not_run));
             let (mut flood, mut sound) = (program.connect(), program.connect());
             send_round(&mut flood, 0, not_run);
-            let before = resident_kb(&program);
+            let before = program.resident_kb();
             for round in 1..=ROUNDS {
+                if not_run == NotRun::CallerGone {
+                    flood = program.connect();
+                }
                 send_round(&mut flood, round, not_run);
                 if round % ROUNDS_PER_READ == 0 {
                     sound.send_request(round, "map", &attempt(round), None, b"");
                     sound.read_until(&[b"done"]);
                 }
             }
-            let growth = resident_kb(&program).saturating_sub(before);
+            let growth = program.resident_kb().saturating_sub(before);
             assert!(growth <= MAX_GROWTH_KB, "{not_run:?}: {growth} KB, entries of {entry_kb} KB");
         }
     }
