After a slow time of the dependency its calls are made again, though none shows it is fast

Cause: while calls look slow, requests that need one are rejected and optional ones skipped; the smoothed call time changed only where a call ended, so nothing could show that the database was fast again.

Change: if none has ended for as long as runs count, and none is outstanding, it decays towards the best time, as run times do.

--- a/src/admission/calls.rs
+++ b/src/admission/calls.rs
@@ -57,7 +57,7 @@
             self.call_was_rejected();
         }
         if matches!(outcome, Outcome::Completed | Outcome::TimedOut) {
-            self.record_call_time(outcome, took);
+            self.record_call_time(now, outcome, took);
         }
         if outcome == Outcome::Completed {
             self.resume_run(now, id);
@@ -67,8 +67,9 @@
         self.start_calls(now);
     }
 
-    fn record_call_time(&mut self, outcome: Outcome, took: Duration) {
+    fn record_call_time(&mut self, now: Duration, outcome: Outcome, took: Duration) {
         let times = &mut self.call_times;
+        times.recorded_at = now;
         times.count += 1.0;
         let (smoothed, took) = (times.smoothed, took.as_secs_f64());
         times.last = took;
--- a/src/admission/state.rs
+++ b/src/admission/state.rs
@@ -68,10 +68,12 @@
     pub(super) last: f64,
     /// Number of calls recorded.
     pub(super) count: f64,
+    /// When the last call was recorded.
+    pub(super) recorded_at: Duration,
 }
 
 impl Default for CallTimes {
     fn default() -> Self {
-        CallTimes { smoothed: 0.0, best: f64::MAX, last: 0.0, count: 0.0 }
+        CallTimes { smoothed: 0.0, best: f64::MAX, last: 0.0, count: 0.0, recorded_at: Duration::ZERO }
     }
 }
--- a/src/admission/window.rs
+++ b/src/admission/window.rs
@@ -17,6 +17,7 @@
         self.evaluate_window(now);
         self.decay_run_times(last_evaluation);
         self.decay_unread_time(now, last_evaluation);
+        self.decay_call_time(now);
         self.evaluate_call_window(now);
         self.evaluate_idle_timeout();
     }
@@ -62,6 +63,18 @@
         }
     }
 
+    /// Decays the smoothed call time towards its best value if none was measured for as long as runs count, and no call
+    /// is outstanding. While calls look slow, requests that need one are rejected and optional calls are skipped, so
+    /// that possibly none is made which would show that the dependency is fast again.
+    fn decay_call_time(&mut self, now: Duration) {
+        let is_outdated = now >= self.call_times.recorded_at + self.sample_span();
+        if is_outdated && self.calls.open_count(now) == 0 {
+            let times = &mut self.call_times;
+            let usual = if times.best < f64::MAX { times.best } else { 0.0 };
+            times.smoothed -= DECAY_WITHOUT_SAMPLES * (times.smoothed - usual).max(0.0);
+        }
+    }
+
     /// How long measurements count.
     fn sample_span(&self) -> Duration {
         let targets = self.classes.iter().map(|class| class.latency_target);
--- a/tests/suite/recovery.rs
+++ b/tests/suite/recovery.rs
@@ -79,6 +79,69 @@
     }
 }
 
+/// How long calls take that make the tests' dependency look slow, and when it is fast.
+const SLOW_CALL: Duration = Duration::from_millis(600);
+const FAST_CALL: Duration = Duration::from_millis(10);
+/// Within this time without a call the smoothed call time has decayed from that of a slow call to that of a fast one.
+const TIME_TO_CALL: Duration = Duration::from_secs(4 + 10);
+
+/// Has a request of class 0 need its upstream call. Returns whether the call was made.
+fn request_call(scenario: &mut Scenario) -> bool {
+    let id = scenario.receive(0, DEADLINE * 3, None, 0.99);
+    if scenario.stage(id) != Stage::Running {
+        return false;
+    }
+    scenario.set_stage(id, Stage::AwaitingCall);
+    scenario.admission.call_requested(scenario.now(), id);
+    let is_made = scenario.stage(id) == Stage::Calling;
+    if !is_made {
+        scenario.end_run(id, Outcome::Completed);
+    }
+    is_made
+}
+
+/// Makes calls that each take this long, as long as the module makes them, at most this many.
+fn make_calls(scenario: &mut Scenario, took: Duration, count: usize) {
+    for _ in 0..count {
+        if !request_call(scenario) {
+            return;
+        }
+        let calling = |request: &crate::model::ModelRequest| request.stage == Stage::Calling;
+        let id = scenario.model.0.borrow().requests.iter().find(|(_, r)| calling(r)).map(|(id, _)| *id);
+        scenario.advance(took, 0.0);
+        let (now, id) = (scenario.now(), id.unwrap());
+        scenario.set_stage(id, Stage::Running);
+        scenario.admission.call_ended(now, id, Outcome::Completed, took);
+        scenario.end_run(id, Outcome::Completed);
+        // Under a quota below one call the next has to wait for several times as long as the last one took.
+        scenario.advance(took * 5, 0.0);
+    }
+}
+
+/// After a slow time of the dependency no call was made any more: a class that needs its call was rejected, and one that
+/// doesn't went without, so nothing showed that the dependency was fast again.
+#[test]
+fn calls_are_made_again_after_the_dependency_was_slow() {
+    // Whether requests need their call, or lose a part of their weight without it.
+    for share_without_call in [0.0, 0.6] {
+        let mut settings = settings(&["retryable"]);
+        settings.set("family_info.calls_out", Value::Number(0.7));
+        settings.set("family_info.worth_without.0", Value::Number(share_without_call));
+        let mut scenario = Scenario::new(settings);
+        make_calls(&mut scenario, FAST_CALL, 40);
+        make_calls(&mut scenario, SLOW_CALL, 40);
+        assert!(!request_call(&mut scenario), "{share_without_call}: calls look slow");
+        // Requests go on coming.
+        let until = scenario.now() + TIME_TO_CALL;
+        let mut made = false;
+        while !made && scenario.now() < until {
+            scenario.advance(MS * 500, 0.0);
+            made = request_call(&mut scenario);
+        }
+        assert!(made, "{share_without_call}: no call within {TIME_TO_CALL:?}");
+    }
+}
+
 /// Answers all upstream calls and ends all runs.
 fn end_all_runs(scenario: &mut Scenario) {
     let open: Vec<RequestId> = scenario.model.0.borrow().requests.keys().copied().collect();
