Repeats wait for the request that they repeat only while there is memory for them

Cause: a repeat was joined before anything asked for the memory.

Change: it waits only while there is room for it and for a run; otherwise a read is rejected at once, a keyed repeat fails. The original may itself be queued, so the room for its run is kept.

--- a/src/admission/requests.rs
+++ b/src/admission/requests.rs
@@ -47,10 +47,7 @@
             };
         }
         match original {
-            Some(Original::Started) => {
-                self.set_stage(id, Stage::Joined);
-                return self.host.join_original(id);
-            }
+            Some(Original::Started(original)) => return self.join_or_reject(now, &arrival, original),
             Some(Original::Queued(original)) => self.replace_queued(now, original, &arrival),
             None => self.update_threshold(now),
         }
@@ -96,7 +93,11 @@
         }
         // Only a keyed repeat replaces its queued original, so that the two never run concurrently.
         let replaceable = |request: &Request| request.stage == Stage::Queued && effect == Effect::Keyed;
-        Some(if request.is_some_and(replaceable) { Original::Queued(original) } else { Original::Started })
+        Some(if request.is_some_and(replaceable) {
+            Original::Queued(original)
+        } else {
+            Original::Started(original)
+        })
     }
 
     fn insert_request(&mut self, arrival: &Arrival, memory_kb: f64) {
@@ -115,6 +116,32 @@
         self.timers.insert(timer, ());
     }
 
+    /// Joins a repeat to the request that it repeats if there is memory for it. Otherwise a read is rejected; a keyed
+    /// repeat fails, since the other request may have run.
+    fn join_or_reject(&mut self, now: Duration, arrival: &Arrival, original: RequestId) {
+        if self.has_room_to_join(arrival.id, original) {
+            self.set_stage(arrival.id, Stage::Joined);
+            return self.host.join_original(arrival.id);
+        }
+        match arrival.class.effect {
+            Effect::Keyed => self.fail(arrival.id),
+            Effect::Idempotent | Effect::Unsafe => self.reject(now, arrival.id),
+        }
+    }
+
+    /// Whether the memory, in which the repeat is counted already, allows for it. If the original has not ended, the
+    /// repeat waits, and there has to be room to start either of the two; otherwise it is answered soon.
+    fn has_room_to_join(&self, repeat: RequestId, original: RequestId) -> bool {
+        let memory_kb = |id: RequestId| self.requests.get(&id).map(|request| request.memory_kb);
+        match memory_kb(original) {
+            Some(kb) => {
+                let largest_kb = memory_kb(repeat).map_or(kb, |repeat_kb| repeat_kb.max(kb));
+                self.memory_share(largest_kb) <= MAX_MEMORY_SHARE
+            }
+            None => self.memory_share(0.0) <= 1.0,
+        }
+    }
+
     /// Rejects a queued request in favour of its repeat. Repeats that are read later may still refer to the replaced
     /// request, so an entry for it is kept for the length of the deduplication window.
     fn replace_queued(&mut self, now: Duration, original: RequestId, repeat: &Arrival) {
--- a/src/admission/state.rs
+++ b/src/admission/state.rs
@@ -55,7 +55,7 @@
     /// Still queued, so that the repeat can replace it.
     Queued(RequestId),
     /// Started already, or not keyed and so not replaceable: the repeat joins it.
-    Started,
+    Started(RequestId),
 }
 
 /// Smoothed times of upstream calls, in seconds.
--- a/tests/suite/window_and_queue.rs
+++ b/tests/suite/window_and_queue.rs
@@ -162,3 +162,33 @@
     let old = scenario.receive(0, MS * 1000, None, 0.99);
     assert_eq!(scenario.model.0.borrow().rejected, [Rejection { id: old, retry_after: None, last: true }]);
 }
+
+/// Reads of one popular subject, and repeats of a keyed request, were taken in to wait for the one run whatever memory
+/// was left. The model checks the memory at each of them.
+#[test]
+fn repeats_wait_for_a_run_only_while_there_is_memory_for_them() {
+    for (class, effect) in [(0, "retryable"), (1, "dedup")] {
+        let mut settings = settings(&["retryable", "dedup"]);
+        settings.set("family_info.fresh_for", Value::Number(1e6));
+        let mut scenario = Scenario::new(settings);
+        // Each takes a hundredth of the memory.
+        scenario.memory_kb = 100.0;
+        let original = scenario.receive(class, MS * LONG_WAIT_MS, Some(1), 0.99);
+        let repeats: Vec<RequestId> =
+            (0..200).map(|_| scenario.receive(class, MS * LONG_WAIT_MS, Some(1), 0.99)).collect();
+        assert!(!scenario.has_violations(), "{effect}");
+        let waiting = repeats.iter().filter(|id| scenario.stage(**id) == Stage::Joined).count();
+        assert!((60..90).contains(&waiting), "{effect}: {waiting} wait");
+        // The others were answered at once: reads are rejected, repeats of what runs fail.
+        let answers: u32 = repeats.iter().map(|id| scenario.model.0.borrow().requests[id].answers).sum();
+        let rejected = scenario.model.0.borrow().rejected.len();
+        let others = repeats.len() - waiting;
+        assert_eq!((answers as usize, rejected), (others, if class == 0 { others } else { 0 }), "{effect}");
+        // A smaller request beside them can still run.
+        scenario.memory_kb = 50.0;
+        let other = scenario.receive(0, MS * LONG_WAIT_MS, None, 0.99);
+        assert_eq!(scenario.stage(other), Stage::Running, "{effect}");
+        scenario.end_run(original, Outcome::Completed);
+        assert_eq!(scenario.model.0.borrow().count(Stage::Joined), 0, "{effect}");
+    }
+}
