--- a/crates/aldercrank-server/src/core/state.rs
+++ b/crates/aldercrank-server/src/core/state.rs
@@ -153,7 +153,7 @@
     }
 
     /// Records that the run of a request ended, or may have run. An unsafe attempt is remembered by its id for the longest
-    /// deadline: whoever repeats it has stopped waiting by then.
+    /// deadline: a client that repeats it has stopped waiting by then.
     pub(super) fn remember_attempt(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(slot(id)) else { return };
         if request.effect == Effect::Unsafe {
--- a/crates/aldercrank-server/tests/suite/shared_reads.rs
+++ b/crates/aldercrank-server/tests/suite/shared_reads.rs
@@ -55,21 +55,26 @@
     pool.send(&format!("unknown spawn {}\r\n", attempt(number)));
 }
 
+/// Has two reads of one connection run, so that the result of the second is shared: `first`, of [`SUBJECT`].
+fn serve_first_reads(program: &mut Program) -> (PoolConnection, EdgeConnection) {
+    let mut pool = program.wait_until_serving();
+    let mut edge = program.connect();
+    for (number, subject, result) in [(1, "track-0", "zeroth"), (2, SUBJECT, "first")] {
+        send_read(&mut edge, number, &attempt(number), subject);
+        pool.complete_next_run(number, number, result.as_bytes());
+        edge.read_until(&[result.as_bytes()]);
+    }
+    (pool, edge)
+}
+
 /// Clients with ids that the worker pool does not know were served the results of other clients' reads.
 #[test]
 fn a_read_that_the_worker_pool_does_not_know_is_not_served_the_result_of_another() {
     let mut program = start();
-    let mut pool = program.wait_until_serving();
-    let mut edge = program.connect();
-    send_read(&mut edge, 1, &attempt(1), SUBJECT);
-    pool.complete_next_run(1, 1, b"first");
-    edge.read_until(&[b"first"]);
+    let (mut pool, mut edge) = serve_first_reads(&mut program);
     // On a connection whose requests the pool knows, its result is shared.
-    send_read(&mut edge, 2, &attempt(2), SUBJECT);
-    pool.complete_next_run(2, 2, b"second");
-    edge.read_until(&[b"second"]);
     send_read(&mut edge, 3, &attempt(3), SUBJECT);
-    edge.read_until(&[b"second"]);
+    edge.read_until(&[b"first"]);
     // While a result is cached, and again with the id of a request that was answered.
     let mut unknown = program.connect();
     send_read(&mut unknown, 1, &attempt(100), SUBJECT);
@@ -127,14 +132,7 @@
 fn a_read_that_is_given_up_in_the_queue_does_not_extend_how_long_an_earlier_result_is_shared() {
     let shared_for = Duration::from_millis(300);
     let mut program = start_with(shared_for.as_micros() as u64, MEMORY_OF_ONE_RUN_KB);
-    let mut pool = program.wait_until_serving();
-    let mut edge = program.connect();
-    send_read(&mut edge, 1, &attempt(1), "track-0");
-    pool.complete_next_run(1, 1, b"zeroth");
-    edge.read_until(&[b"zeroth"]);
-    send_read(&mut edge, 2, &attempt(2), SUBJECT);
-    pool.complete_next_run(2, 2, b"first");
-    edge.read_until(&[b"first"]);
+    let (mut pool, mut edge) = serve_first_reads(&mut program);
     std::thread::sleep(shared_for + Duration::from_millis(50));
     // A second run has no room, so the next read of the subject is queued until its caller gives it up.
     send_read(&mut edge, 3, &attempt(3), "track-2");
@@ -151,17 +149,10 @@
 
 /// A read that reported an age was served what had been fresh at that time.
 #[test]
-fn a_read_that_says_it_was_sent_long_ago_is_not_served_what_was_fresh_then() {
+fn a_read_that_reports_an_age_is_not_served_what_was_fresh_then() {
     let shared_for = Duration::from_millis(300);
     let mut program = start_with(shared_for.as_micros() as u64, 9000.0);
-    let mut pool = program.wait_until_serving();
-    let mut edge = program.connect();
-    send_read(&mut edge, 1, &attempt(1), "track-0");
-    pool.complete_next_run(1, 1, b"zeroth");
-    edge.read_until(&[b"zeroth"]);
-    send_read(&mut edge, 2, &attempt(2), SUBJECT);
-    pool.complete_next_run(2, 2, b"first");
-    edge.read_until(&[b"first"]);
+    let (mut pool, mut edge) = serve_first_reads(&mut program);
     std::thread::sleep(shared_for * 2);
     // The server reads this connection at once, so nothing has waited unread.
     send_read(&mut edge, 3, &attempt(3), "track-2");
