A connection whose requests were rejected keeps its place before those without requests

Connections without requests go first now, then those of which requests were rejected, then served ones.

edge_connections::connections_without_requests_make_room_before_others replaces connections_that_were_never_served_...: it asserts the same and, besides, that a connection with a rejected request stays.

--- a/crates/aldercrank-server/src/net/core_ports.rs
+++ b/crates/aldercrank-server/src/net/core_ports.rs
@@ -1,5 +1,6 @@
 //! The core's ports: how it sends answers, commands to the worker pool and dependency calls.
 
+use super::idle_list::ConnectionUse;
 use super::{Net, TimerEvent};
 use crate::core::{Ports, ReplyTo, TimerId};
 use crate::msgpack_rpc;
@@ -16,7 +17,7 @@
 impl Ports for SocketPorts {
     fn complete(&mut self, reply_to: ReplyTo, result: Payload) {
         let mut net = self.0.borrow_mut();
-        net.edge.mark_served(reply_to);
+        net.edge.mark_used(reply_to, ConnectionUse::Served);
         net.answer(reply_to, |output, fields| {
             let length = result.bytes().len();
             output.append_framing(|bytes| msgpack_rpc::write_result_start(bytes, reply_to.call, length));
@@ -25,7 +26,9 @@
         });
     }
     fn reject(&mut self, reply_to: ReplyTo, retry_after: Option<Duration>, last: bool) {
-        self.0.borrow_mut().answer(reply_to, |output, fields| {
+        let mut net = self.0.borrow_mut();
+        net.edge.mark_used(reply_to, ConnectionUse::Rejected);
+        net.answer(reply_to, |output, fields| {
             output.append_framing(|bytes| {
                 msgpack_rpc::write_rejected(bytes, reply_to.call, fields, retry_after, last);
             });
--- a/crates/aldercrank-server/src/net/edge_closing.rs
+++ b/crates/aldercrank-server/src/net/edge_closing.rs
@@ -89,7 +89,14 @@
             ConnectionUse::Silent => {
                 tracing::debug!(connection = conn.0, idle_ms, "closing a silent connection for a new one");
             }
-            ConnectionUse::Unserved | ConnectionUse::Served => tracing::warn!(
+            ConnectionUse::WithoutRequest => {
+                tracing::debug!(
+                    connection = conn.0,
+                    idle_ms,
+                    "closing a connection without requests for a new one"
+                );
+            }
+            ConnectionUse::Rejected | ConnectionUse::Served => tracing::warn!(
                 connection = conn.0,
                 idle_ms,
                 asked_to_close,
--- a/crates/aldercrank-server/src/net/edge_connections.rs
+++ b/crates/aldercrank-server/src/net/edge_connections.rs
@@ -92,7 +92,7 @@
             // The connection moves to another idle list, and its idle time starts anew.
             let was_idle = self.leave_idle_list(conn);
             let Some(edge) = self.get(conn) else { return };
-            (edge.usage, edge.idle_since) = (ConnectionUse::Unserved, now);
+            (edge.usage, edge.idle_since) = (ConnectionUse::WithoutRequest, now);
             if was_idle {
                 self.join_idle_list(conn);
             }
@@ -120,14 +120,14 @@
     /// neither an idle connection nor one that has not reacted to being asked to close is known to be unused. Therefore a
     /// connection that has never sent a message goes first. While the only ones of that kind are new, nothing is
     /// returned: the connection that needs a place waits until they have had the time to send something.
-    /// Next are connections of which no request was served, and last those that were served; of each the one that has
-    /// been idle for longest.
+    /// Next are connections without requests, then those of which requests were rejected, and last those that were
+    /// served; of each the one that has been idle for longest.
     pub(super) fn next_to_make_room(&self, now: Duration) -> Option<ConnId> {
         if let Some(silent) = self.longest_idle(&self.idle.silent) {
             return Some(silent.conn).filter(|_| now >= silent.since + NEW_CONNECTION_GRACE);
         }
-        let used = self.longest_idle(&self.idle.unserved).or_else(|| self.longest_idle(&self.idle.served));
-        used.map(|idle| idle.conn)
+        let used = [&self.idle.without_request, &self.idle.rejected, &self.idle.served];
+        used.into_iter().find_map(|lists| self.longest_idle(lists)).map(|idle| idle.conn)
     }
 
     fn longest_idle(&self, lists: &IdleListPair) -> Option<IdleConnection> {
@@ -137,7 +137,12 @@
     /// The connection that has been idle for longest among those whose peers were not asked to close.
     fn first_to_time_out(&self) -> Option<IdleConnection> {
         let idle = &self.idle;
-        self.first_idle([idle.silent.open.first, idle.unserved.open.first, idle.served.open.first])
+        self.first_idle([
+            idle.silent.open.first,
+            idle.without_request.open.first,
+            idle.rejected.open.first,
+            idle.served.open.first,
+        ])
     }
 
     /// Returns the one that has been idle for longest.
@@ -265,11 +270,11 @@
         }
     }
 
-    /// Records that an open call is about to be answered with a result.
-    pub(super) fn mark_served(&mut self, reply_to: ReplyTo) {
+    /// Records what a connection was used for, as an open call is about to be answered.
+    pub(super) fn mark_used(&mut self, reply_to: ReplyTo, usage: ConnectionUse) {
         let open = |edge: &&mut EdgeConnection| edge.open_calls.contains(&reply_to.call);
         if let Some(edge) = self.get(reply_to.conn).filter(open) {
-            edge.usage = ConnectionUse::Served;
+            edge.usage = edge.usage.max(usage);
         }
     }
 
--- a/crates/aldercrank-server/src/net/idle_list.rs
+++ b/crates/aldercrank-server/src/net/idle_list.rs
@@ -19,13 +19,15 @@
     pub(super) last: Option<ConnId>,
 }
 
-/// What a connection has been used for so far.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What a connection has been used for so far. Ordered by how likely it is that requests come on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum ConnectionUse {
     /// It has never sent a complete message.
     Silent,
-    /// It has sent a complete message, but no request of it was answered with a result.
-    Unserved,
+    /// It has sent messages, but at most health checks and requests that failed.
+    WithoutRequest,
+    /// A request of it was rejected, and none was answered with a result.
+    Rejected,
     /// A request of it was answered with a result.
     Served,
 }
@@ -43,7 +45,8 @@
 #[derive(Debug, Default)]
 pub(super) struct IdleLists {
     pub(super) silent: IdleListPair,
-    pub(super) unserved: IdleListPair,
+    pub(super) without_request: IdleListPair,
+    pub(super) rejected: IdleListPair,
     pub(super) served: IdleListPair,
 }
 
@@ -52,7 +55,8 @@
     pub(super) fn list(&mut self, usage: ConnectionUse, is_closing: bool) -> &mut IdleList {
         let pair = match usage {
             ConnectionUse::Silent => &mut self.silent,
-            ConnectionUse::Unserved => &mut self.unserved,
+            ConnectionUse::WithoutRequest => &mut self.without_request,
+            ConnectionUse::Rejected => &mut self.rejected,
             ConnectionUse::Served => &mut self.served,
         };
         if is_closing {
--- a/crates/aldercrank-server/tests/suite/edge_connections.rs
+++ b/crates/aldercrank-server/tests/suite/edge_connections.rs
@@ -149,14 +149,23 @@
     }
 }
 
-/// Connections that were served were closed for clients that had sent one message and kept their connections.
+/// Connections that were served, or of which requests were rejected, were closed for clients that had sent a health
+/// check and kept their connections.
 #[test]
-fn connections_that_were_never_served_make_room_before_those_that_were() {
-    let mut program = Program::start(|_| None);
+fn connections_without_requests_make_room_before_others() {
+    let mut program = Program::start_with(Some(|_: &str| None), |config| {
+        let classes = config["settings"]["profiles"].as_array_mut().unwrap();
+        let mut rejected = classes[0].clone();
+        (rejected["name"], rejected["offered"]) = ("closed".into(), false.into());
+        classes.push(rejected);
+    });
     let mut pool = program.wait_until_serving();
+    let mut rejected = program.connect();
+    rejected.send_request(1, "closed", &attempt(100), None, b"");
+    rejected.read_until(&[b"Overloaded"]);
     let mut served: Vec<EdgeConnection> =
         (1..=8).map(|n| connect_and_be_served(&program, &mut pool, n)).collect();
-    let unserved: Vec<EdgeConnection> = (0..MORE_THAN_THE_CONNECTION_LIMIT)
+    let without_request: Vec<EdgeConnection> = (0..MORE_THAN_THE_CONNECTION_LIMIT)
         .map(|_| {
             let mut edge = program.connect();
             edge.0.write_all(&health_check_message(1)).unwrap();
@@ -167,5 +176,6 @@
     for (edge, number) in served.iter_mut().zip(9..) {
         expect_served_again(edge, &mut pool, number);
     }
-    drop(unserved);
+    expect_served_again(&mut rejected, &mut pool, 17);
+    drop(without_request);
 }
